Read the configuration again on SIGHUP and move the watch on discovery at once

Checked: lifecycle/serve.rs registered SIGTERM and SIGINT only, so the default action ended it. The watch (wire/discovery.rs) sat in a read that nothing could end, and would have gone on from the old address's version at the new one.

Now: signals are caught before anything else starts; SIGHUP reads the file; the watch's connection is closed under it and it goes on at the new address without a pause, with the whole list first, since versions there are its own. New settings are an input to the core. A bad file is reported, and the old one kept.

--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -24,7 +24,7 @@
 }
 
 /// What the machine grants.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default)]
 pub struct Limits {
     /// File descriptors.
@@ -39,6 +39,8 @@
 
 /// A configuration that makes sense.
 pub struct Config {
+    /// The files it was read from, to be read again on SIGHUP.
+    pub files: Files,
     /// This dispatcher's name.
     pub name: String,
     /// Where clients and call-backs come in.
@@ -66,7 +68,7 @@
 }
 
 /// The files on the command line.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Files {
     /// The configuration; else `$NODE_CONFIG` names it.
     pub config: Option<PathBuf>,
@@ -79,7 +81,7 @@
 /// Reads the files; `$NODE_NAME`, `$NODE_LISTEN` and `$NODE_DISCOVERY` fill its gaps.
 pub fn load(files: Files) -> Result<Config, String> {
     let env = |name: &str| std::env::var(name).ok();
-    let path = files.config.or_else(|| env("NODE_CONFIG").map(PathBuf::from));
+    let path = files.config.clone().or_else(|| env("NODE_CONFIG").map(PathBuf::from));
     let path = path.ok_or("no configuration: name one with --config or in NODE_CONFIG")?;
     let at = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
     let text = std::fs::read_to_string(&path).map_err(|e| at(&e))?;
@@ -113,7 +115,8 @@
         limits: file.limits,
         known: file.known,
         gearman,
-        ipfix: files.ipfix.map(|path| load_part(&path)).transpose()?,
+        ipfix: files.ipfix.as_deref().map(load_part).transpose()?,
         site,
+        files,
     })
 }
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -1,9 +1,9 @@
-//! The life of the process: start, ready, SIGTERM, end.
+//! The life of the process: start, ready, SIGHUP, SIGTERM, end.
 
-use super::config::Config;
+use super::config::{self, Config};
 use crate::memory::core::Core;
-use crate::memory::{Inbox, Input, clock};
-use crate::wire::discovery::{Watch, hosts};
+use crate::memory::{FleetId, Inbox, Input, clock};
+use crate::wire::discovery::{Registry, Watch, hosts};
 use crate::wire::front::{self, Front};
 use crate::wire::gearman::{self, Gearman};
 use crate::wire::ipfix;
@@ -11,6 +11,8 @@
 use may::sync::mpsc::channel;
 use roselock::ListMode;
 use roselock::settings::fnv;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -21,6 +23,8 @@
 
 /// Serves until SIGTERM, and then until nothing is owed.
 pub fn run(config: Config) -> Result<(), String> {
+    // Before anything else: a signal that nobody catches would end the process.
+    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| e.to_string())?;
     // One core, shared with the thread that owns the decisions.
     may::config().set_workers(1).set_stack_size(STACK);
     let (inbox, outlet) = Inbox::new();
@@ -34,13 +38,19 @@
         site: site.clone(),
         open: Arc::new(AtomicUsize::new(0)),
         most: spare / (parts + 1),
-        watch: ask,
+        watch: ask.clone(),
     };
+    let registry = Registry::new(config.discovery, ask);
     let flows = config.ipfix.as_ref().map(|file| ipfix::start(file, &site)).transpose()?;
     let mut core = Core::new(inbox.clone(), outlet, flows);
     let fleet = core.add_fleet(site.settings.clone(), config.seed, Some(Box::new(dialer)))?;
-    let mut watch =
-        Watch { at: config.discovery, rev: config.known.rev, site: config.site, inbox: inbox.clone(), fleet };
+    let mut watch = Watch {
+        registry: registry.clone(),
+        rev: Some(config.known.rev),
+        site: config.site.clone(),
+        inbox: inbox.clone(),
+        fleet,
+    };
     let known = hosts(&config.known, &mut watch.site);
     core.handle(Input::Hosts(fleet, ListMode::Complete, known));
     may::go!(move || watch.run(&asked));
@@ -80,22 +90,57 @@
         eprintln!("{}: Gearman on {listen}", config.name);
         may::go!(move || gearman::accept(Arc::new(gearman), listener));
     }
-    stop_on_sigterm(front, inbox)?;
-    eprintln!("{}: serving on {listen}", config.name);
+    let name = config.name.clone();
+    eprintln!("{name}: serving on {listen}");
+    heed_signals(signals, config, Parts { front, inbox, fleet, registry });
     // This thread owns the decisions from here on.
     core.run();
-    eprintln!("{}: nothing is owed, done", config.name);
+    eprintln!("{name}: nothing is owed, done");
     Ok(())
 }
 
-fn stop_on_sigterm(front: Arc<Front>, inbox: Inbox) -> Result<(), String> {
-    use signal_hook::consts::{SIGINT, SIGTERM};
-    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT]).map_err(|e| e.to_string())?;
+/// The parts that signals reach.
+struct Parts {
+    front: Arc<Front>,
+    inbox: Inbox,
+    fleet: FleetId,
+    registry: Registry,
+}
+
+impl Parts {
+    /// Puts a new configuration in the place of the old one; says what only a new start can change.
+    fn reload(&self, old: &Config, new: &Config) {
+        let name = &old.name;
+        if self.registry.move_to(new.discovery) {
+            eprintln!("{name}: discovery is at {} from now on", new.discovery);
+        }
+        if new.site.names_as(&old.site) {
+            self.inbox.post(Input::Settings(self.fleet, Box::new(new.site.settings.clone())));
+        } else {
+            eprintln!("{name}: other classes, tenants, zones or kinds take effect at the next start");
+        }
+        if (new.listen, new.limits) != (old.listen, old.limits) {
+            eprintln!("{name}: another address or other limits take effect at the next start");
+        }
+        eprintln!("{name}: configuration read again");
+    }
+}
+
+fn heed_signals(mut signals: Signals, mut config: Config, parts: Parts) {
     std::thread::spawn(move || {
-        for _ in signals.forever() {
-            front.stopping.store(true, Ordering::SeqCst);
-            inbox.post(Input::Stop);
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                match config::load(config.files.clone()) {
+                    Ok(new) => {
+                        parts.reload(&config, &new);
+                        config = new;
+                    }
+                    Err(why) => eprintln!("{}: the old configuration is kept: {why}", config.name),
+                }
+                continue;
+            }
+            parts.front.stopping.store(true, Ordering::SeqCst);
+            parts.inbox.post(Input::Stop);
         }
     });
-    Ok(())
 }
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -195,6 +195,13 @@
                 let broken = Event::Fleet { mode: ListMode::Broken, entries: Vec::new() };
                 self.fleets[fleet].events.push(broken);
             }
+            Input::Settings(fleet, set) => {
+                let fleet = &mut self.fleets[fleet];
+                match fleet.dispatcher.retell(&set) {
+                    Ok(()) => fleet.set = *set,
+                    Err(why) => eprintln!("the old settings are kept: {why}"),
+                }
+            }
             Input::Stop => self.stop = self.stop.or(Some(clock::now())),
         }
     }
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -5,7 +5,7 @@
 pub mod core;
 pub mod pool;
 
-use roselock::{ClassId, FleetEntry, Gauge, KeyId, ListMode, Micros, Outcome, TenantId, WorkerId};
+use roselock::{ClassId, FleetEntry, Gauge, KeyId, ListMode, Micros, Outcome, Settings, TenantId, WorkerId};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
@@ -270,6 +270,8 @@
     Hosts(FleetId, ListMode, Vec<ListedHost>),
     /// The watch on the hosts broke.
     WatchBroken(FleetId),
+    /// New settings of the decisions, for the same names.
+    Settings(FleetId, Box<Settings>),
     /// Finish what is owed, then stop.
     Stop,
 }
--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -3,14 +3,15 @@
 use super::http::{Bad, Reader, by};
 use super::socket::Socket;
 use crate::memory::{FleetId, Inbox, Input, ListedHost};
-use may::sync::mpsc::Receiver;
+use may::sync::mpsc::{Receiver, Sender};
 use roselock::settings::{Site, fnv};
 use roselock::{CellId, FleetEntry, KindId, ListMode, Listed, Micros, SECOND, WorkerId, ZoneId};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// How long a call may take, and a watch be silent: an empty line comes every 2 s.
-const CALL: Micros = 2 * SECOND;
+const CALL: Micros = SECOND;
 const SILENCE: Micros = 3 * SECOND;
 /// Longest line.
 const LINE: usize = 1 << 20;
@@ -72,12 +73,49 @@
     list.targets.iter().filter_map(host).collect()
 }
 
+/// Where discovery is, for the watch that asks there and for whoever moves it.
+#[derive(Clone)]
+pub struct Registry {
+    place: Arc<Mutex<Place>>,
+    ask: Sender<()>,
+}
+
+struct Place {
+    at: SocketAddr,
+    /// Counts the moves.
+    moves: u64,
+    /// The connection that the watch reads from.
+    socket: Option<Socket>,
+}
+
+impl Registry {
+    /// Discovery at an address; `ask` wakes the watch.
+    pub fn new(at: SocketAddr, ask: Sender<()>) -> Registry {
+        Registry { place: Arc::new(Mutex::new(Place { at, moves: 0, socket: None })), ask }
+    }
+    fn place(&self) -> MutexGuard<'_, Place> {
+        self.place.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+    /// Discovery is elsewhere from now on: ends the watch at the former address and wakes it. False if it is not.
+    pub fn move_to(&self, at: SocketAddr) -> bool {
+        let mut place = self.place();
+        if place.at == at {
+            return false;
+        }
+        (place.at, place.moves) = (at, place.moves + 1);
+        place.socket.take().iter().for_each(Socket::close);
+        drop(place);
+        let _ = self.ask.send(());
+        true
+    }
+}
+
 /// Keeps the watch.
 pub struct Watch {
-    /// Discovery.
-    pub at: SocketAddr,
-    /// The version last heard of.
-    pub rev: u64,
+    /// Where discovery is.
+    pub registry: Registry,
+    /// The version last heard of there; none where discovery has not been heard yet.
+    pub rev: Option<u64>,
     /// Names met in lists get numbers of their own here.
     pub site: Site,
     /// The way to the decisions.
@@ -87,23 +125,62 @@
 }
 
 impl Watch {
-    /// Watches whenever it is asked to, until the watch breaks. When to ask again is not decided here.
+    /// Watches whenever it is asked to, until the watch breaks. When to ask again is not decided here; but
+    /// a watch that was moved goes on at the new address at once.
     pub fn run(mut self, asked: &Receiver<()>) {
+        let mut watched = 0;
         while asked.recv().is_ok() {
-            let ended = self.watch();
-            eprintln!("discovery: the watch ended: {ended:?}");
+            loop {
+                // One watch answers all who asked until now.
+                while asked.try_recv().is_ok() {}
+                let (at, moves) = {
+                    let place = self.registry.place();
+                    (place.at, place.moves)
+                };
+                if moves != watched {
+                    // Its versions are its own: the whole list first.
+                    (watched, self.rev) = (moves, None);
+                }
+                let ended = self.watch(at, moves);
+                eprintln!("discovery at {at}: the watch ended: {ended:?}");
+                if self.registry.place().moves == moves {
+                    break;
+                }
+            }
             self.inbox.post(Input::WatchBroken(self.fleet));
         }
     }
 
-    fn watch(&mut self) -> Result<(), Bad> {
-        let socket = Socket::connect(self.at, by(CALL)).map_err(|_| Bad::Broken)?;
-        let call = format!(
-            "GET /registry/instances?watch=1&after={} HTTP/1.1\r\nHost: {}\r\n\r\n",
-            self.rev, self.at
-        );
-        socket.write(&[call.as_bytes()], by(CALL)).map_err(|_| Bad::Broken)?;
-        let mut reader = Reader::new(socket);
+    /// Opens a connection; it is ended by a move.
+    fn connect(&self, at: SocketAddr, moves: u64) -> Result<Socket, Bad> {
+        let socket = Socket::connect(at, by(CALL)).map_err(|_| Bad::Broken)?;
+        let mut place = self.registry.place();
+        if place.moves != moves {
+            return Err(Bad::Ended);
+        }
+        place.socket = Some(socket.clone());
+        Ok(socket)
+    }
+
+    fn watch(&mut self, at: SocketAddr, moves: u64) -> Result<(), Bad> {
+        let mut socket = self.connect(at, moves)?;
+        let call = |query: &str| format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {at}\r\n\r\n");
+        let mut reader = Reader::new(socket.clone());
+        if self.rev.is_none() {
+            socket.write(&[call("").as_bytes()], by(CALL)).map_err(|_| Bad::Broken)?;
+            let answer = reader.response(by(CALL))?;
+            if answer.status != 200 {
+                return Err(Bad::Status(answer.status));
+            }
+            self.take(answer.body());
+            if answer.close {
+                socket = self.connect(at, moves)?;
+                reader = Reader::new(socket.clone());
+            }
+        }
+        let Some(rev) = self.rev else { return Err(Bad::Status(400)) };
+        let query = format!("?watch=1&after={rev}");
+        socket.write(&[call(&query).as_bytes()], by(CALL)).map_err(|_| Bad::Broken)?;
         let head = reader.stream_head(by(SILENCE))?;
         if head.status != 200 {
             return Err(Bad::Status(head.status));
@@ -127,7 +204,7 @@
         }
         match serde_json::from_slice::<List>(line) {
             Ok(list) => {
-                self.rev = list.rev;
+                self.rev = Some(list.rev);
                 let mode = if list.all { ListMode::Complete } else { ListMode::Changes };
                 let hosts = hosts(&list, &mut self.site);
                 self.inbox.post(Input::Hosts(self.fleet, mode, hosts));
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -35,6 +35,11 @@
 
 impl Discovery {
     pub fn start() -> Discovery {
+        Discovery::start_with(None)
+    }
+
+    /// One that also tells the whole list when asked for it without a watch.
+    pub fn start_with(whole: Option<String>) -> Discovery {
         let (listener, (ask, asked), (lines, said)) = (bind(), channel(), channel::<Option<String>>());
         let at = listener.local_addr().expect("an address");
         std::thread::spawn(move || {
@@ -42,6 +47,11 @@
                 let mut peer = Peer::new(stream.expect("a connection"));
                 let Some(request) = peer.read() else { continue };
                 let _ = ask.send(request.start.clone());
+                if let Some(whole) = whole.as_ref().filter(|_| !request.start.contains("watch")) {
+                    peer.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len()));
+                    let Some(next) = peer.read() else { continue };
+                    let _ = ask.send(next.start);
+                }
                 peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                 loop {
                     let line = match said.recv_timeout(Duration::from_secs(1)) {
@@ -86,6 +96,7 @@
 /// The dispatcher's process, killed with the story.
 pub struct Dispatcher {
     pub child: Child,
+    pub config: std::path::PathBuf,
     pub http: SocketAddr,
     pub gearman: Option<SocketAddr>,
     log: BufReader<std::process::ChildStderr>,
@@ -115,7 +126,8 @@
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}}}"#
         );
         let mut command = Command::new(env!("CARGO_BIN_EXE_roselock"));
-        command.arg("serve").arg("--config").arg(file("config.json", &config)).stderr(Stdio::piped());
+        let config = file("config.json", &config);
+        command.arg("serve").arg("--config").arg(&config).stderr(Stdio::piped());
         if let Some(functions) = gearman {
             let text = format!("listen = \"127.0.0.1:0\"\n{functions}");
             command.arg("--gearman").arg(file("gearman.toml", &text));
@@ -127,7 +139,7 @@
         let mut child = command.spawn().expect("the dispatcher starts");
         let log = BufReader::new(child.stderr.take().expect("piped"));
         let nowhere = bind().local_addr().expect("an address");
-        let mut started = Dispatcher { child, http: nowhere, gearman: None, log };
+        let mut started = Dispatcher { child, config, http: nowhere, gearman: None, log };
         if gearman.is_some() {
             started.gearman = Some(started.logged("Gearman on "));
         }
@@ -136,19 +148,35 @@
     }
 
     fn logged(&mut self, what: &str) -> SocketAddr {
+        self.logs(what).parse().expect("an address")
+    }
+
+    /// Reads its log up to these words; what follows them.
+    pub fn logs(&mut self, what: &str) -> String {
         loop {
             let mut line = String::new();
             assert!(self.log.read_line(&mut line).expect("its log") > 0, "it has ended");
-            if let Some((_, address)) = line.split_once(what) {
-                return address.trim().parse().expect("an address");
+            if let Some((_, rest)) = line.split_once(what) {
+                return rest.trim().to_owned();
             }
         }
     }
 
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
+        assert!(kill.expect("kill runs").success());
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        let kill = Command::new("kill").arg(self.child.id().to_string()).status();
-        assert!(kill.expect("kill runs").success());
+        self.signal("-TERM");
+    }
+
+    /// Writes its configuration anew, with one text for another, and sends SIGHUP.
+    pub fn reload(&self, old: &str, new: &str) {
+        let text = std::fs::read_to_string(&self.config).expect("its configuration");
+        std::fs::write(&self.config, text.replace(old, new)).expect("it is written");
+        self.signal("-HUP");
     }
 
     /// A client's request on a connection of its own, sent and not yet answered.
--- a/dispatcher/tests/platform.rs
+++ b/dispatcher/tests/platform.rs
@@ -245,3 +245,35 @@
     }
     assert!(dispatcher.child.wait().expect("its end").success());
 }
+
+/// SIGHUP ended the process. It reads the file again: the watch moves to the new address at once, where the
+/// versions are others and the whole list comes first; what is held is served; a bad file changes nothing.
+#[rstest]
+fn sighup_moves_discovery_and_loses_nothing() {
+    let (host, other) = (Host::new("s-1"), Host::new("s-2"));
+    let (mut discovery, mut dispatcher) = world(&[&host]);
+    let asked = |d: &Discovery| d.asked.recv_timeout(PATIENCE).expect("a call");
+    assert_eq!(asked(&discovery), "GET /registry/instances?watch=1&after=7 HTTP/1.1");
+    let mut held = dispatcher.ask("c1", "pay", 10.0);
+    let (_peer, _) = host.take();
+    for rev in [3, 2] {
+        dispatcher.reload(r#""discovery":"#, r#""discovery":0,"#);
+        dispatcher.logs("the old configuration is kept");
+        dispatcher.reload(r#""discovery":0,"#, r#""discovery":"#);
+        dispatcher.logs("configuration read again");
+        let moved = Discovery::start_with(Some(list(rev, true, &[other.line("ready")])));
+        dispatcher.reload(&discovery.at.to_string(), &moved.at.to_string());
+        assert_eq!(asked(&moved), "GET /registry/instances HTTP/1.1");
+        assert_eq!(asked(&moved), format!("GET /registry/instances?watch=1&after={rev} HTTP/1.1"));
+        discovery = moved;
+    }
+    // The first host is not in the list any more.
+    let mut client = dispatcher.ask("c2", "pay", 10.0);
+    let (_peer, _) = other.take();
+    for (id, from, client) in [("c1", "s-1", &mut held), ("c2", "s-2", &mut client)] {
+        assert_eq!(dispatcher.call_back(id, from, DONE), 204);
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+    dispatcher.terminate();
+    assert!(dispatcher.child.wait().expect("its end").success());
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -456,6 +456,18 @@
         }
     }
 
+    /// Takes new settings in the place of the old ones; classes and tenants must be as many.
+    pub fn retell(&mut self, set: &Settings) -> Result<(), SettingsError> {
+        set.check()?;
+        let sizes = |s: &Settings| (s.classes.len(), s.tenants.len());
+        if sizes(set) != sizes(&self.set) {
+            let problem = "must be as many as before";
+            return Err(SettingsError { field: "classes and tenants".to_owned(), problem });
+        }
+        self.set = set.clone();
+        Ok(())
+    }
+
     /// `n` different columns of the history, each with a tick of the look-ahead.
     pub(crate) fn draw_columns(&mut self, n: usize) -> Vec<(usize, usize)> {
         let len = self.history.len();
