Bound a connection's first message, and shed who has asked for nothing when the table is full

Checked: CPU (at most 0.06 s in a second) and memory (20 of 192 MB) are ruled out; descriptors stood at the most for clients. At fault, in wire/front.rs: accept() slept 2 ms and shed one idle connection a turn; a connection counted as idle only before its first stream, since the reader, which waits for the client, kept it as held (and the count of held streams with it) after the answer was written; and 120 s (IDLE) went by before silence was ended.

Now: the writer hands the turn back with the answer, from when on the connection may go and its stream is no longer held; accepting comes first, and one is shed for one; first those that had their last word, then those that never sent a stream or a call-back, then those between requests. The first message has 2 s from the accept (408, or a close of what said nothing), a further one 2 s. Errors in a first message and borrowed ids (409) close. A chunk's line is bounded, and so is a chunk by the room left in the body.

--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -66,8 +66,8 @@
         open: AtomicUsize::new(0),
         most: spare / (parts + 1) * 2,
         held: AtomicUsize::new(0),
-        idle: Mutex::default(),
-        idled: AtomicU64::new(0),
+        spare: Mutex::default(),
+        spared: AtomicU64::new(0),
     });
     let accepting = front.clone();
     may::go!(move || front::accept(accepting, listener));
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -211,9 +211,11 @@
         self.arrived = now;
         let call = new.payload.id().to_owned();
         // Two live streams of one id could not be told apart by the hosts' call-backs.
-        if self.calls.contains_key(&call) || new.deadline <= now {
-            new.downstream.answer(Answer::Failed);
-            return;
+        if self.calls.contains_key(&call) {
+            return new.downstream.answer(Answer::Conflict);
+        }
+        if new.deadline <= now {
+            return new.downstream.answer(Answer::Failed);
         }
         self.fleets[new.fleet].events.push(Event::Job(JobIn {
             job: JobId(new.id),
@@ -264,7 +266,7 @@
         let (finish, sent) = match &answer {
             Answer::Served(body) => (Finish::Served, body.len()),
             Answer::Refused(_) => (Finish::Refused, 0),
-            Answer::Failed => (Finish::Failed, 0),
+            Answer::Failed | Answer::Conflict => (Finish::Failed, 0),
             Answer::TimedOut => (Finish::TimedOut, 0),
         };
         stream.downstream.answer(answer);
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -87,6 +87,8 @@
     Served(Vec<u8>),
     /// A local reply: not taken on, harmless to try again, after this span if any.
     Refused(Micros),
+    /// A local reply: its id is that of another stream.
+    Conflict,
     /// A local reply: failed, it may have run.
     Failed,
     /// A local reply: no answer in time, it may have run.
--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -186,7 +186,7 @@
             return Err(Bad::Status(head.status));
         }
         let mut lines = Vec::new();
-        while reader.chunk(&mut lines, by(SILENCE))? {
+        while reader.chunk(&mut lines, LINE, by(SILENCE))? {
             while let Some(end) = lines.iter().position(|b| *b == b'\n') {
                 let line: Vec<u8> = lines.drain(..=end).collect();
                 self.take(line.trim_ascii());
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -10,13 +10,19 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// How long a connection may idle, and a message may take to come in or go out.
+/// How long a connection may take from its first moment to its first whole message. Who says nothing, or half a
+/// request, is told or closed after it.
+const HELLO: Micros = 2 * SECOND;
+/// How long a connection that has asked for something may idle, and a further message may take to come in.
 const IDLE: Micros = 120 * SECOND;
+const INCOMING: Micros = 2 * SECOND;
+/// How long an answer may take to go out.
 const TRANSFER: Micros = 10 * SECOND;
-/// How long a connection that said its last word waits for the client to close.
-const PARTING: Micros = 2 * SECOND;
+/// How long a connection that said its last word waits for the client to close, and how much it reads meanwhile.
+const PARTING: Micros = SECOND / 2;
+const PARTING_READS: usize = 64;
 /// The longest patience that is believed.
 const PATIENCE: f64 = 3600.0;
 
@@ -36,43 +42,79 @@
     pub most: usize,
     /// Streams held.
     pub held: AtomicUsize,
-    /// The connections between requests, by when they fell idle.
-    pub idle: Mutex<BTreeMap<u64, Socket>>,
+    /// The connections that may go where there are too many.
+    pub spare: Mutex<BTreeMap<(Rank, u64), Socket>>,
     /// Numbers those.
-    pub idled: AtomicU64,
+    pub spared: AtomicU64,
 }
 
+/// Which connections go first where there are too many; of equals the oldest.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// It has had its last word.
+    Parting,
+    /// It has never sent a stream or a call-back.
+    Stranger,
+    /// It is between requests.
+    Idle,
+}
+
+/// A connection that may go, until this is dropped.
+struct Spare(Arc<Front>, (Rank, u64));
+
+impl Spare {
+    /// It is needed from now on; false where it has been ended: what it sent is not taken, and may be sent again.
+    fn keep(self) -> bool {
+        self.0.spares().remove(&self.1).is_some()
+    }
+}
+
+impl Drop for Spare {
+    fn drop(&mut self) {
+        self.0.spares().remove(&self.1);
+    }
+}
+
+/// The answer to a call-back.
+const CALLED_BACK: u16 = 204;
+/// Connections beyond the most that are accepted while others are being shed.
+const OVER: usize = 8;
+/// Looks, a millisecond apart, for such as need not be missed before one goes that is between requests.
+const PATIENT: u32 = 4;
 /// Connections kept for call-backs.
 const FOR_CALL_BACKS: usize = 96;
 
+/// Short sections without waits inside; the runtime's thread is never held up.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Front {
-    /// Ends the connection that has been idle longest.
-    fn shed(&self) {
-        let oldest = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop_first();
-        oldest.iter().for_each(|(_, socket)| socket.close());
+    fn spares(&self) -> MutexGuard<'_, BTreeMap<(Rank, u64), Socket>> {
+        lock(&self.spare)
     }
-    /// Waits for the next request on a connection.
-    fn await_request(&self, socket: &Socket, reader: &mut Reader) -> Result<bool, Bad> {
-        let number = self.idled.fetch_add(1, Ordering::SeqCst);
-        let idle = || self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle().insert(number, socket.clone());
-        let filled = reader.fill(by(IDLE));
-        idle().remove(&number);
-        filled
+    /// Notes that a connection may go.
+    fn spare(self: &Arc<Front>, rank: Rank, socket: &Socket) -> Spare {
+        let key = (rank, self.spared.fetch_add(1, Ordering::SeqCst));
+        self.spares().insert(key, socket.clone());
+        Spare(self.clone(), key)
+    }
+    /// Ends the connection that is missed least, up to a rank; false if there is none.
+    fn shed(&self, up_to: Rank) -> bool {
+        let mut spares = self.spares();
+        let least = spares.first_entry().filter(|e| e.key().0 <= up_to).map(|e| e.remove());
+        least.iter().for_each(Socket::close);
+        least.is_some()
     }
 }
 
-/// A stream that a connection holds.
-struct Held {
-    id: StreamId,
-    close: bool,
-    front: Arc<Front>,
-}
+/// A stream that a connection holds until its answer is written.
+struct Held(Arc<Front>);
 
 impl Held {
     /// None where so many are held that call-backs might find no connection.
-    fn new(front: &Arc<Front>, close: bool) -> Option<Held> {
-        let held = Held { id: front.inbox.stream_id(), close, front: front.clone() };
+    fn new(front: &Arc<Front>) -> Option<Held> {
+        let held = Held(front.clone());
         let others = front.held.fetch_add(1, Ordering::SeqCst);
         (others + FOR_CALL_BACKS.min(front.most / 4) < front.most).then_some(held)
     }
@@ -80,29 +122,38 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.front.held.fetch_sub(1, Ordering::SeqCst);
+        self.0.held.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 /// Accepts connections for ever.
 pub fn accept(front: Arc<Front>, listener: TcpListener) {
     loop {
-        if front.open.load(Ordering::SeqCst) >= front.most {
-            front.shed();
-            may::coroutine::sleep(std::time::Duration::from_millis(2));
-            continue;
-        }
         let Ok((stream, peer)) = listener.accept() else {
             // Out of descriptors for a moment.
             may::coroutine::sleep(std::time::Duration::from_millis(2));
             continue;
         };
-        front.open.fetch_add(1, Ordering::SeqCst);
-        let front = front.clone();
+        let open = front.open.fetch_add(1, Ordering::SeqCst);
+        let serving = front.clone();
         may::go!(move || {
-            serve(&front, stream, peer);
-            front.open.fetch_sub(1, Ordering::SeqCst);
+            serve(&serving, stream, peer);
+            serving.open.fetch_sub(1, Ordering::SeqCst);
         });
+        // It may read what has come with it before the next one is looked at.
+        may::coroutine::yield_now();
+        if open >= front.most {
+            // One for one: who was shed ends by an event of its socket, which the runtime looks for when nothing
+            // else runs, and counts until then. Those that are busy may soon be strangers to be shed, so who has
+            // been served waits a little longer.
+            let (mut owed, mut waited) = (!front.shed(Rank::Stranger), 0);
+            while front.open.load(Ordering::SeqCst) >= front.most + OVER {
+                may::coroutine::sleep(std::time::Duration::from_millis(1));
+                waited += 1;
+                let up_to = if waited < PATIENT { Rank::Stranger } else { Rank::Idle };
+                owed = owed && !front.shed(up_to);
+            }
+        }
     }
 }
 
@@ -125,26 +176,50 @@
 struct Writer {
     letters: Sender<Answer>,
     written: Receiver<bool>,
+    turn: Arc<Mutex<Turn>>,
+}
+
+/// Whose turn it is on a connection: the dispatcher's while it holds a stream, then the client's, who may be long
+/// in coming back; from then on the connection may go. The reader only learns of it when more comes in.
+#[derive(Default)]
+struct Turn {
+    held: Option<Held>,
+    /// The connection ends with this answer.
+    close: bool,
+    spare: Option<Spare>,
+}
+
+impl Writer {
+    fn turn(&self) -> MutexGuard<'_, Turn> {
+        lock(&self.turn)
+    }
 }
 
 fn start_writer(front: &Arc<Front>, socket: &Socket) -> Writer {
     let (letters, box_) = channel::<Answer>();
     let (done, written) = channel();
-    let (front, socket) = (front.clone(), socket.clone());
+    let turn = Arc::<Mutex<Turn>>::default();
+    let (front, socket, turns) = (front.clone(), socket.clone(), turn.clone());
     may::go!(move || {
         while let Ok(answer) = box_.recv() {
-            let close = front.stopping.load(Ordering::SeqCst);
+            // Who borrows the id of another's stream need not stay.
+            let astray = answer == Answer::Conflict;
+            let close = astray || lock(&turns).close || front.stopping.load(Ordering::SeqCst);
             let sent = write_answer(&socket, &answer, close);
             front.inbox.wrote();
-            if sent.is_err() {
-                socket.close();
+            match sent {
+                Ok(()) if close => socket.finish(),
+                Ok(()) => {}
+                Err(_) => socket.close(),
             }
+            let rank = if close { Rank::Parting } else { Rank::Idle };
+            *lock(&turns) = Turn { spare: Some(front.spare(rank, &socket)), ..Turn::default() };
             if done.send(sent.is_ok()).is_err() {
                 break;
             }
         }
     });
-    Writer { letters, written }
+    Writer { letters, written, turn }
 }
 
 fn write_answer(socket: &Socket, answer: &Answer, close: bool) -> std::io::Result<()> {
@@ -156,6 +231,7 @@
             let after = format!("Retry-After: {:.3}\r\n", *after as f64 / SECOND as f64);
             http::respond(socket, 503, &after, b"", close, by)
         }
+        Answer::Conflict => http::respond(socket, 409, "", b"", close, by),
         Answer::Failed => http::respond(socket, 500, "", b"", close, by),
         Answer::TimedOut => http::respond(socket, 504, "", b"", close, by),
     }
@@ -165,79 +241,106 @@
     let socket = Socket::new(stream);
     let mut reader = Reader::new(socket.clone());
     let mut writer: Option<Writer> = None;
-    let mut pending: Option<Held> = None;
+    let mut pending: Option<Pending> = None;
+    // Until it has sent a stream or a call-back, it is among the first to go where there are too many.
+    let mut stranger = Some(front.spare(Rank::Stranger, &socket));
+    // Until it has sent anything that makes sense, it has this long.
+    let mut hello = Some(by(HELLO));
     loop {
         // While a stream is held, this watches for the client's leaving.
-        let filled = match (reader.is_empty(), &pending) {
-            (false, _) => Ok(true),
-            (true, Some(_)) => reader.fill(by(IDLE)),
-            (true, None) => front.await_request(&socket, &mut reader),
+        let filled = match (reader.is_empty(), &pending, &stranger) {
+            (false, ..) => Ok(true),
+            (true, Some(_), _) => reader.fill(by(IDLE)),
+            (true, None, Some(_)) => reader.fill(hello.unwrap_or_else(|| by(IDLE))),
+            (true, None, None) => {
+                let spare = front.spare(Rank::Idle, &socket);
+                let filled = reader.fill(by(IDLE));
+                if spare.keep() { filled } else { Ok(false) }
+            }
         };
-        if let Some(held) = &pending {
-            let writer = writer.as_ref();
-            let written = writer.and_then(|w| w.written.try_recv().ok());
-            let ok = match (filled, written) {
+        if let Some(Pending { stream, close }) = pending {
+            let Some(writer) = &writer else { return };
+            let ok = match (filled, writer.written.try_recv().ok()) {
                 (_, Some(ok)) => ok,
                 // More has come before the answer: it waits its turn.
-                (Ok(true), None) => writer.is_some_and(|w| w.written.recv().unwrap_or(false)),
+                (Ok(true), None) => writer.written.recv().unwrap_or(false),
                 (Err(Bad::Late), None) => continue,
                 _ => {
-                    front.inbox.post(Input::Left(held.id));
+                    writer.turn().held = None;
+                    front.inbox.post(Input::Left(stream));
                     return;
                 }
             };
-            if !ok {
+            let kept = writer.turn().spare.take().is_some_and(Spare::keep);
+            if !ok || !kept {
                 return;
             }
-            let close = held.close;
             pending = None;
             if close {
-                part(&socket, &mut reader);
+                part(front, &socket, &mut reader);
                 return;
             }
         }
         if filled != Ok(true) {
             return;
         }
-        let message = match reader.request(by(TRANSFER)) {
+        let message = match reader.request(hello.unwrap_or_else(|| by(INCOMING))) {
             Ok(message) => message,
-            Err(Bad::Status(status)) => {
-                let _ = http::respond(&socket, status, "", b"", true, by(TRANSFER));
-                part(&socket, &mut reader);
+            Err(bad) => {
+                let status = match bad {
+                    Bad::Status(status) => status,
+                    Bad::Late => 408,
+                    Bad::Ended | Bad::Broken => return,
+                };
+                if http::respond(&socket, status, "", b"", true, by(PARTING)).is_ok() {
+                    part(front, &socket, &mut reader);
+                }
                 return;
             }
-            Err(_) => return,
         };
         let close = message.close;
         let came = clock::now();
-        match route(front, message, (came, peer), &socket, &mut writer) {
-            Routed::Held(held) => pending = Some(held),
+        match route(front, message, (came, peer), (&socket, &mut writer, &mut stranger)) {
+            Routed::Held(stream) => (pending, hello) = (Some(Pending { stream, close }), None),
+            Routed::Shed => return,
             Routed::Reply(status, more) => {
-                let close = close || front.stopping.load(Ordering::SeqCst);
-                if http::respond(&socket, status, more, b"", close, by(TRANSFER)).is_err() {
+                // Whose first word made no sense need not stay.
+                let astray = hello.is_some() && (400..500).contains(&status);
+                let close = close || astray || front.stopping.load(Ordering::SeqCst);
+                if http::respond(&socket, status, more, b"", close, by(PARTING)).is_err() {
                     return;
                 }
                 if close {
-                    part(&socket, &mut reader);
+                    part(front, &socket, &mut reader);
                     return;
                 }
+                hello = None;
+                stranger.take_if(|_| status == CALLED_BACK);
             }
         }
     }
 }
 
 /// Lets the last answer arrive: closing with bytes unread would reset the connection under it.
-fn part(socket: &Socket, reader: &mut Reader) {
+fn part(front: &Arc<Front>, socket: &Socket, reader: &mut Reader) {
+    let _spare = front.spare(Rank::Parting, socket);
     socket.finish();
     let by = by(PARTING);
-    let mut left = 64;
-    while left > 0 && reader.fill(by) == Ok(true) {
+    let mut left = PARTING_READS;
+    while left > 0 && reader.skip(by) == Ok(true) {
         left -= 1;
     }
 }
 
+/// A stream whose answer is yet to be written, as far as the reader knows.
+struct Pending {
+    stream: StreamId,
+    close: bool,
+}
+
 enum Routed {
-    Held(Held),
+    Held(StreamId),
+    Shed,
     Reply(u16, &'static str),
 }
 
@@ -245,15 +348,14 @@
     front: &Arc<Front>,
     message: Message,
     from: (Micros, SocketAddr),
-    socket: &Socket,
-    writer: &mut Option<Writer>,
+    (socket, writer, stranger): (&Socket, &mut Option<Writer>, &mut Option<Spare>),
 ) -> Routed {
     let (method, target) = (message.text(&message.method), message.text(&message.target));
     let path = target.split('?').next().unwrap_or("");
     match (method, path) {
         ("POST", callbacks::PATH) => {
             let known = callbacks::take(message.body(), &front.site, &front.inbox);
-            return Routed::Reply(if known { 204 } else { 400 }, "");
+            return Routed::Reply(if known { CALLED_BACK } else { 400 }, "");
         }
         ("GET", "/health/ready") => {
             let ready = front.inbox.able() && !front.stopping.load(Ordering::SeqCst);
@@ -266,13 +368,18 @@
     }
     let close = message.close;
     let Some(new) = stream_of(front, message, from) else { return Routed::Reply(400, "") };
-    let Some(held) = Held::new(front, close) else { return Routed::Reply(503, "Retry-After: 1\r\n") };
+    let Some(held) = Held::new(front) else { return Routed::Reply(503, "Retry-After: 1\r\n") };
+    // Whose request is passed on has to stay for the answer.
+    if stranger.take().is_some_and(|s| !s.keep()) {
+        return Routed::Shed;
+    }
     let writer = writer.get_or_insert_with(|| start_writer(front, socket));
-    let id = held.id;
+    (writer.turn().held, writer.turn().close) = (Some(held), close);
+    let id = front.inbox.stream_id();
     let downstream = Mailbox { inbox: front.inbox.clone(), letters: writer.letters.clone() };
     let new = NewStream { id, downstream: Box::new(downstream), ..new };
     front.inbox.post(Input::Arrived(Box::new(new)));
-    Routed::Held(held)
+    Routed::Held(id)
 }
 
 /// Nobody's side: a place holder until the stream's own is known.
--- a/dispatcher/src/wire/gearman/client.rs
+++ b/dispatcher/src/wire/gearman/client.rs
@@ -215,7 +215,7 @@
                 }
             }
             Answer::Refused(after) => self.last_words(&job.waiters, refusal(after).as_bytes()),
-            Answer::Failed => {
+            Answer::Failed | Answer::Conflict => {
                 self.last_words(&job.waiters, job.exception.as_deref().unwrap_or(b"failed; it may have run"));
             }
             Answer::TimedOut => self.last_words(&job.waiters, b"no answer in time; it may have run"),
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -12,6 +12,8 @@
 const HEADERS: usize = 64;
 /// Most bytes of a body.
 pub const BODY: usize = 64 * 1024;
+/// Most bytes of the line before a chunk.
+const CHUNK_LINE: usize = 256;
 /// Bytes read at a time.
 const CHUNK: usize = 4096;
 
@@ -140,6 +142,11 @@
             Err(_) => Err(Bad::Broken),
         }
     }
+    /// Reads on, and keeps nothing of it; false at the end.
+    pub fn skip(&mut self, deadline: Micros) -> Result<bool, Bad> {
+        self.buffer.clear();
+        self.fill(deadline)
+    }
     fn more(&mut self, deadline: Micros) -> Result<(), Bad> {
         let empty = self.buffer.is_empty();
         match self.fill(deadline)? {
@@ -188,13 +195,12 @@
         Ok(message)
     }
 
-    /// Appends the next chunk's bytes; false after the last one.
-    pub fn chunk(&mut self, into: &mut Vec<u8>, deadline: Micros) -> Result<bool, Bad> {
+    /// Appends the next chunk's bytes, of which there may be so many; false after the last one.
+    pub fn chunk(&mut self, into: &mut Vec<u8>, most: usize, deadline: Micros) -> Result<bool, Bad> {
         loop {
             match httparse::parse_chunk_size(&self.buffer) {
                 Ok(httparse::Status::Complete((start, size))) => {
-                    let size =
-                        usize::try_from(size).ok().filter(|s| *s <= 1 << 20).ok_or(Bad::Status(413))?;
+                    let size = usize::try_from(size).ok().filter(|s| *s <= most).ok_or(Bad::Status(413))?;
                     self.want(start + size + 2, deadline)?;
                     if &self.buffer[start + size..start + size + 2] != b"\r\n" {
                         return Err(Bad::Status(400));
@@ -203,8 +209,8 @@
                     self.buffer.drain(..start + size + 2);
                     return Ok(size > 0);
                 }
-                Ok(httparse::Status::Partial) => self.more(deadline)?,
-                Err(_) => return Err(Bad::Status(400)),
+                Ok(httparse::Status::Partial) if self.buffer.len() <= CHUNK_LINE => self.more(deadline)?,
+                _ => return Err(Bad::Status(400)),
             }
         }
     }
@@ -230,9 +236,10 @@
     fn take_body(&mut self, message: &mut Message, at: usize, deadline: Micros) -> Result<(), Bad> {
         if message.chunked {
             let mut raw = self.split(at);
-            while self.chunk(&mut raw, deadline)? {
-                if raw.len() > at + BODY {
-                    return Err(Bad::Status(413));
+            loop {
+                let most = at + BODY - raw.len();
+                if !self.chunk(&mut raw, most, deadline)? {
+                    break;
                 }
             }
             (message.body, message.raw) = (at..raw.len(), raw);
@@ -298,6 +305,8 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -113,6 +113,18 @@
         known: &str,
         gearman: Option<&str>,
         collector: Option<SocketAddr>,
+    ) -> Dispatcher {
+        Dispatcher::start_within(1024, discovery, settings, known, gearman, collector)
+    }
+
+    /// One with so many descriptors.
+    pub fn start_within(
+        sockets: usize,
+        discovery: SocketAddr,
+        settings: &str,
+        known: &str,
+        gearman: Option<&str>,
+        collector: Option<SocketAddr>,
     ) -> Dispatcher {
         let dir = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let unique = bind().local_addr().expect("an address").port();
@@ -123,7 +135,7 @@
         };
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{known},"settings":{settings}}}"#
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
         let mut command = Command::new(env!("CARGO_BIN_EXE_roselock"));
         let config = file("config.json", &config);
@@ -266,7 +278,10 @@
     }
     /// Whether the other side has ended the connection without another byte.
     pub fn ended(&mut self) -> bool {
-        matches!(self.0.read(&mut [0]), Ok(0)) || self.0.get_ref().take_error().is_ok_and(|e| e.is_some())
+        match self.0.read(&mut [0]) {
+            Ok(read) => read == 0,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        }
     }
 }
 
--- a/dispatcher/tests/platform.rs
+++ b/dispatcher/tests/platform.rs
@@ -277,3 +277,69 @@
     dispatcher.terminate();
     assert!(dispatcher.child.wait().expect("its end").success());
 }
+
+/// Who says nothing, or half of something, is told or closed within 3 s, and who sends what makes no sense at
+/// once, however much of it there is; none of them keeps a connection.
+#[rstest]
+#[case::nothing("", 0, None)]
+#[case::half_a_head("POST /api/u HT", 0, Some(408))]
+#[case::half_a_body("POST /api/u HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf", 0, Some(408))]
+#[case::no_id("POST /api/u HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 0, Some(400))]
+#[case::much("POST /api/u HTTP/1.1\r\nContent-Length: 300000\r\n\r\n", 200_000, Some(413))]
+#[case::chunk("POST /api/u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n8;", 2_000, Some(400))]
+#[case::large_chunk("POST /api/u HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n", 0, Some(413))]
+fn who_asks_for_nothing_is_not_kept(#[case] input: &str, #[case] more: usize, #[case] status: Option<u16>) {
+    let host = Host::new("s-1");
+    let (_discovery, dispatcher) = world(&[&host]);
+    let connected = std::time::Instant::now();
+    let mut client = Peer::new(connect(dispatcher.http));
+    client.write(input);
+    client.write(&"x".repeat(more));
+    assert_eq!(client.read().map(|answer| answer.status()), status);
+    assert!(client.ended());
+    assert!(connected.elapsed().as_secs_f64() < 3.0);
+}
+
+/// Floods: the table of connections was full of such as asked once and stayed, or never asked, and nobody else
+/// came in. They go first: before who has been served, and before who waits for an answer.
+#[rstest]
+#[case::silent("")]
+#[case::refused(
+    "POST /api/u HTTP/1.1\r\nX-Call-Id: c1\r\nX-Call-Class: pay\r\nX-Budget: 9\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::ready("GET /health/ready HTTP/1.1\r\n\r\n")]
+fn a_flood_keeps_nobody_out(#[case] input: &str) {
+    let (discovery, host) = (Discovery::start(), Host::new("s-1"));
+    let known = list(7, true, &[host.line("ready")]);
+    let dispatcher = Dispatcher::start_within(128, discovery.at, &settings(0.0, 2.0), &known, None, None);
+    let done = r#""state":"done","result":"r","load":{"x0":9}"#;
+    let mut served = dispatcher.ask("c0", "look", 10.0);
+    let (mut peer, _) = host.take();
+    assert_eq!(dispatcher.call_back("c0", "s-1", done), 204);
+    assert_eq!(served.read().expect("an answer").status(), 200);
+    let mut held = dispatcher.ask("c1", "pay", 10.0);
+    assert_eq!(peer.read().expect("a request").header("x-call-id"), Some("c1"));
+    peer.write(TAKEN);
+    let _flood: Vec<Peer> = (0..400)
+        .map(|_| {
+            let mut peer = Peer::new(connect(dispatcher.http));
+            peer.write(input);
+            peer
+        })
+        .collect();
+    let mut late = dispatcher.ask("c2", "look", 10.0);
+    assert_eq!(peer.read().expect("a request").header("x-call-id"), Some("c2"));
+    peer.write(TAKEN);
+    for (id, client) in [("c1", &mut held), ("c2", &mut late)] {
+        assert_eq!(dispatcher.call_back(id, "s-1", done), 204);
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+    // Those that hold a stream for a moment are no strangers yet: then it may be its turn to go.
+    if input.contains("c1") {
+        return;
+    }
+    served.ask("c3", "look", 10.0);
+    assert_eq!(peer.read().expect("a request").header("x-call-id"), Some("c3"));
+    assert_eq!(dispatcher.call_back("c3", "s-1", done), 204);
+    assert_eq!(served.read().expect("an answer").status(), 200);
+}
