Divide the limits that the configuration tells, and serve on for a while after SIGTERM

At fault: after SIGTERM every answer closed its connection (front.rs), so clients were sent away that had nowhere to go. Now the connections are kept for 1.8 s more. What comes later than 0.6 s after SIGTERM has its answer by 3.5 s, before it may be killed.

Now both limits are divided, large bodies share half of the memory, 64 coroutines are kept.

Checked, of withdrawals: with all upstream connections in use a DELETE was not sent at all. An eighth of them is kept for it, and it is tried again. The Gearman front ends silent peers like the platform's (it kept them for an hour and turned away all others at the most); both accept through one table.

--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -29,11 +29,40 @@
 pub struct Limits {
     /// File descriptors.
     pub sockets: usize,
+    /// Memory.
+    pub memory_mb: usize,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192 }
+    }
+}
+
+/// How the limits are divided.
+pub struct Shares {
+    /// Connections to upstream hosts.
+    pub upstream: usize,
+    /// Connections of the platform's front, and of a further one.
+    pub downstream: usize,
+    pub further: usize,
+    /// Bytes of messages that come in or are held, beyond the first few of each.
+    pub bytes: usize,
+}
+
+impl Limits {
+    /// Divides them, with so many fronts beside the platform's. The listener, discovery, the runtime and what
+    /// starts or ends keep some descriptors, connections and the decisions half of the memory.
+    pub fn shares(&self, further_fronts: usize) -> Shares {
+        let sockets = self.sockets.min(1 << 16);
+        let spare = sockets.saturating_sub((sockets / 8).clamp(16, 64));
+        let part = spare / (3 + further_fronts);
+        Shares {
+            upstream: part,
+            downstream: 2 * part,
+            further: part,
+            bytes: self.memory_mb.clamp(1, 1 << 16) * (1 << 20) / 2,
+        }
     }
 }
 
@@ -120,3 +149,24 @@
         files,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    /// Guards against reserves that do not shrink with the limits: of 256 descriptors, clients may need a third for
+    /// requests, call-backs a quarter of what is left to the front, and hosts enough for each to have a few.
+    #[rstest]
+    #[case(256, 32)]
+    #[case(384, 48)]
+    #[case(1024, 192)]
+    fn the_limits_are_divided_so_that_all_can_work(#[case] sockets: usize, #[case] memory_mb: usize) {
+        let shares = Limits { sockets, memory_mb }.shares(0);
+        assert!(shares.downstream * 3 / 4 > sockets / 3, "{}", shares.downstream);
+        assert!(shares.upstream >= 64 && shares.upstream + shares.downstream + 16 <= sockets);
+        assert!(shares.bytes <= (memory_mb << 20) / 2);
+        let both = Limits { sockets, memory_mb }.shares(1);
+        assert!(both.upstream + both.downstream + both.further + 16 <= sockets);
+    }
+}
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -7,37 +7,36 @@
 use crate::wire::front::{self, Front};
 use crate::wire::gearman::{self, Gearman};
 use crate::wire::ipfix;
+use crate::wire::table::Table;
 use crate::wire::upstream::HttpDialer;
 use may::sync::mpsc::channel;
 use roselock::ListMode;
 use roselock::settings::fnv;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 
 /// Words of stack for a coroutine: the deepest path parses a head and writes it out.
 const STACK: usize = 8 * 1024;
-/// Descriptors kept for the listener, discovery, the runtime and what starts or ends.
-const RESERVE: usize = 64;
+/// Coroutines kept with their stacks for the next ones: each takes two pages even before its first use.
+const COROUTINES: usize = 64;
 
 /// Serves until SIGTERM, and then until nothing is owed.
 pub fn run(config: Config) -> Result<(), String> {
     // Before anything else: a signal that nobody catches would end the process.
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| e.to_string())?;
     // One core, shared with the thread that owns the decisions.
-    may::config().set_workers(1).set_stack_size(STACK);
+    may::config().set_workers(1).set_stack_size(STACK).set_pool_capacity(COROUTINES);
     let (inbox, outlet) = Inbox::new();
     let (ask, asked) = channel();
     let site = Arc::new(config.site.clone());
-    // Upstream, downstream and, where it is on, Gearman: a part each.
-    let parts = 2 + config.gearman.is_some() as usize;
-    let spare = config.limits.sockets.min(1 << 16).saturating_sub(RESERVE);
+    let shares = config.limits.shares(config.gearman.is_some() as usize);
     let dialer = HttpDialer {
         inbox: inbox.clone(),
         site: site.clone(),
         open: Arc::new(AtomicUsize::new(0)),
-        most: spare / (parts + 1),
+        most: shares.upstream,
         watch: ask.clone(),
     };
     let registry = Registry::new(config.discovery, ask);
@@ -62,15 +61,12 @@
         site,
         inbox: inbox.clone(),
         fleet,
-        stopping: AtomicBool::new(false),
-        open: AtomicUsize::new(0),
-        most: spare / (parts + 1) * 2,
+        table: Table::new(shares.downstream),
+        bytes: AtomicUsize::new(shares.bytes),
         held: AtomicUsize::new(0),
-        spare: Mutex::default(),
-        spared: AtomicU64::new(0),
     });
     let accepting = front.clone();
-    may::go!(move || front::accept(accepting, listener));
+    may::go!(move || front::accept(accepting, &listener));
     if let Some(file) = &config.gearman {
         let zone = front.site.settings.zone;
         let mut functions = gearman::functions(file, &front.site)?;
@@ -83,16 +79,16 @@
             }
         }
         let life = config.seed ^ fnv(config.name.as_bytes()) ^ clock::now() as u64;
-        let gearman = Gearman::new(functions, inbox.clone(), zone, life, spare / (parts + 1));
+        let gearman = Gearman::new(functions, inbox.clone(), zone, life, shares.further);
         let listener = may::net::TcpListener::bind(file.listen)
             .map_err(|e| format!("cannot listen on {}: {e}", file.listen))?;
         let listen = listener.local_addr().map_err(|e| e.to_string())?;
         eprintln!("{}: Gearman on {listen}", config.name);
-        may::go!(move || gearman::accept(Arc::new(gearman), listener));
+        may::go!(move || gearman::accept(Arc::new(gearman), &listener));
     }
     let name = config.name.clone();
     eprintln!("{name}: serving on {listen}");
-    heed_signals(signals, config, Parts { front, inbox, fleet, registry });
+    heed_signals(signals, config, Parts { inbox, fleet, registry });
     // This thread owns the decisions from here on.
     core.run();
     eprintln!("{name}: nothing is owed, done");
@@ -101,7 +97,6 @@
 
 /// The parts that signals reach.
 struct Parts {
-    front: Arc<Front>,
     inbox: Inbox,
     fleet: FleetId,
     registry: Registry,
@@ -139,8 +134,7 @@
                 }
                 continue;
             }
-            parts.front.stopping.store(true, Ordering::SeqCst);
-            parts.inbox.post(Input::Stop);
+            parts.inbox.stop();
         }
     });
 }
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -6,17 +6,22 @@
 use super::*;
 use roselock::{Action, Dispatcher, Event, JobId, JobIn, Listed, Note, Settings};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::sync::mpsc::RecvTimeoutError;
 
 /// After the deadline, a stream that the decisions have not answered is answered here.
 const BACKSTOP: Micros = 5_000;
 /// How long a probe or a withdrawal may take.
 const ERRAND: Micros = 250_000;
-/// A process that is told to stop serves on for so long, as clients still come.
-const LINGER: Micros = 1_500_000;
-/// ... and until none has come for so long.
+/// A process that is told to stop ends once no stream has come for so long.
 const QUIET: Micros = 400_000;
+/// What it takes on later than the first of these after that has its answer by the second, since soon after it the
+/// process may be killed. For earlier streams nobody counts on more than their own deadlines.
+const TAKES_ON: Micros = 600_000;
+const OUT_BY: Micros = 3_500_000;
+/// A withdrawal that found no connection is tried again after so long; so many of them are kept.
+const RETRY: Micros = 20_000;
+const UNSENT: usize = 1024;
 /// Inputs taken in before the next step.
 const BATCH: usize = 1024;
 /// Hosts remembered after they are gone.
@@ -88,10 +93,11 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     next_upstream: UpstreamId,
     due: BinaryHeap<Reverse<(Micros, Due)>>,
+    /// Withdrawals for which there was no connection, and when to try again.
+    unsent: VecDeque<(Micros, FleetId, WorkerId, Ask)>,
     actions: Vec<Action>,
     swept: Micros,
     arrived: Micros,
-    stop: Option<Micros>,
     flows: Option<Box<dyn FlowSink>>,
 }
 
@@ -108,10 +114,10 @@
             upstreams: HashMap::new(),
             next_upstream: 0,
             due: BinaryHeap::new(),
+            unsent: VecDeque::new(),
             actions: Vec::new(),
             swept: now,
             arrived: now,
-            stop: None,
             flows,
         }
     }
@@ -153,9 +159,10 @@
             }
             let now = clock::now();
             self.fire_due(now);
+            self.withdraw_again(now);
             (0..self.fleets.len()).for_each(|f| self.step(f, now));
             self.sweep(now);
-            if self.stop.is_some_and(|at| now - at >= LINGER)
+            if self.inbox.parting()
                 && self.streams.values().all(|s| s.answered)
                 && self.inbox.unwritten() == 0
                 && now - self.arrived >= QUIET
@@ -167,13 +174,14 @@
 
     /// When there is something to do even without news.
     fn wake_at(&self) -> Micros {
-        let idle = clock::now() + if self.stop.is_some() { 20_000 } else { 1_000_000 };
+        let idle = clock::now() + if self.inbox.stopping().is_some() { 20_000 } else { 1_000_000 };
         let due = self.due.peek().map(|Reverse((at, _))| *at);
         let steps = self.fleets.iter().filter_map(|f| {
             let ready = f.stepped + f.set.tick;
             if f.events.is_empty() { f.timers.peek().map(|t| t.0.0.max(ready)) } else { Some(ready) }
         });
-        steps.chain(due).fold(idle, Micros::min)
+        let unsent = self.unsent.front().map(|u| u.0);
+        steps.chain(due).chain(unsent).fold(idle, Micros::min)
     }
 
     /// Takes in one input.
@@ -202,12 +210,19 @@
                     Err(why) => eprintln!("the old settings are kept: {why}"),
                 }
             }
-            Input::Stop => self.stop = self.stop.or(Some(clock::now())),
+            // Known from the inbox: this wakes the owner.
+            Input::Stop => {}
         }
     }
 
-    fn arrive(&mut self, new: NewStream) {
+    fn arrive(&mut self, mut new: NewStream) {
         let now = clock::now();
+        if let Some(at) = self.inbox.stopping().filter(|at| now - at > TAKES_ON) {
+            new.deadline = new.deadline.min(at + OUT_BY);
+            if new.deadline <= now {
+                return new.downstream.answer(Answer::Refused(OUT_BY - TAKES_ON));
+            }
+        }
         self.arrived = now;
         let call = new.payload.id().to_owned();
         // Two live streams of one id could not be told apart by the hosts' call-backs.
@@ -407,12 +422,24 @@
         let deadline = clock::now() + ERRAND;
         let probe = matches!(ask, Ask::Probe);
         let up = Upstream { fleet, stream: 0, host, round: 0, link: None, taken: true, ended: true };
-        if !self.launch(up, ask, deadline) && probe {
-            self.fleets[fleet].events.push(Event::Health {
-                worker: host,
-                ok: false,
-                gauge: Gauge::default(),
-            });
+        if self.launch(up, ask.clone(), deadline) {
+            return;
+        }
+        if probe {
+            let gauge = Gauge::default();
+            self.fleets[fleet].events.push(Event::Health { worker: host, ok: false, gauge });
+        } else if self.unsent.len() < UNSENT {
+            self.unsent.push_back((clock::now() + RETRY, fleet, host, ask));
+        }
+    }
+
+    /// Sends withdrawals that found no connection.
+    fn withdraw_again(&mut self, now: Micros) {
+        while self.unsent.front().is_some_and(|u| u.0 <= now) {
+            let Some((_, fleet, host, ask)) = self.unsent.pop_front() else { return };
+            if self.fleets[fleet].hosts.get(&host).is_some_and(|h| h.entry.state != Listed::Gone) {
+                self.errand(fleet, host, ask);
+            }
         }
     }
 
@@ -429,7 +456,7 @@
             (None, None) => None,
             (None, Some(endpoint)) => match host.pool.take(idle_since(&fleet.set, now)) {
                 Some(link) => Some(link),
-                None if fleet.dialer.as_ref().is_some_and(|d| d.room()) => {
+                None if fleet.dialer.as_ref().is_some_and(|d| d.room(&request.ask)) => {
                     self.next_upstream += 1;
                     up.link = fleet.dialer.as_ref().map(|d| d.dial(endpoint, request));
                     self.upstreams.insert(id, up);
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
 /// A stream: one request of a client, until its final answer. The decisions know it by the same number.
@@ -199,8 +199,9 @@
 pub trait Dialer: Send {
     /// Opens one, for a first upstream request.
     fn dial(&self, endpoint: SocketAddr, request: UpstreamRequest) -> Arc<dyn Link>;
-    /// Whether another connection may be opened.
-    fn room(&self) -> bool;
+    /// Whether another connection may be opened for this. Some are kept for withdrawals: a host runs on what nobody
+    /// waits for.
+    fn room(&self, ask: &Ask) -> bool;
     /// Asks for the changes of the list.
     fn watch(&self);
 }
@@ -290,8 +291,14 @@
     streams: AtomicU32,
     unwritten: AtomicUsize,
     able: AtomicBool,
+    /// When it was told to stop, if it was.
+    stop: AtomicI64,
 }
 
+/// A process that is told to stop serves on for so long, on the connections it has: their clients may have nowhere
+/// else to go. After that each ends with its next answer.
+const LINGER: Micros = 1_800_000;
+
 /// Most inputs that wait for the owner.
 const QUEUE: usize = 4096;
 
@@ -308,6 +315,19 @@
             may::coroutine::sleep(std::time::Duration::from_millis(1));
         }
     }
+    /// Finish what is owed, then stop.
+    pub fn stop(&self) {
+        let _ = self.shared.stop.compare_exchange(0, clock::now(), Ordering::SeqCst, Ordering::SeqCst);
+        self.post(Input::Stop);
+    }
+    /// When it was told to stop.
+    pub fn stopping(&self) -> Option<Micros> {
+        Some(self.shared.stop.load(Ordering::SeqCst)).filter(|at| *at != 0)
+    }
+    /// Whether that was so long ago that connections are not kept any more.
+    pub fn parting(&self) -> bool {
+        self.stopping().is_some_and(|at| clock::now() - at >= LINGER)
+    }
     /// A number for a new stream.
     pub fn stream_id(&self) -> StreamId {
         self.shared.streams.fetch_add(1, Ordering::Relaxed)
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -1,23 +1,19 @@
 //! The platform's front: clients' streams and upstream hosts' call-backs on one listener.
 
 use super::http::{self, Bad, Message, Reader, by};
+use super::table::{HELLO, INCOMING, Rank, Spare, Table};
 use super::{callbacks, socket::Socket};
 use crate::memory::{Answer, Downstream, FleetId, Inbox, Input, NewStream, Payload, StreamId, clock};
 use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc::{Receiver, Sender, channel};
 use roselock::settings::{Site, fnv};
 use roselock::{ClassId, KeyId, Micros, SECOND, TenantId};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// How long a connection may take from its first moment to its first whole message. Who says nothing, or half a
-/// request, is told or closed after it.
-const HELLO: Micros = 2 * SECOND;
-/// How long a connection that has asked for something may idle, and a further message may take to come in.
+/// How long a connection that has asked for something may idle.
 const IDLE: Micros = 120 * SECOND;
-const INCOMING: Micros = 2 * SECOND;
 /// How long an answer may take to go out.
 const TRANSFER: Micros = 10 * SECOND;
 /// How long a connection that said its last word waits for the client to close, and how much it reads meanwhile.
@@ -34,53 +30,16 @@
     pub inbox: Inbox,
     /// Who runs the streams.
     pub fleet: FleetId,
-    /// Told to stop: connections are not to be kept.
-    pub stopping: AtomicBool,
-    /// Open connections.
-    pub open: AtomicUsize,
-    /// Most connections; some of them are kept for call-backs, without which no stream would end.
-    pub most: usize,
+    /// Its connections; some of them are kept for call-backs, without which no stream would end.
+    pub table: Arc<Table>,
     /// Streams held.
     pub held: AtomicUsize,
-    /// The connections that may go where there are too many.
-    pub spare: Mutex<BTreeMap<(Rank, u64), Socket>>,
-    /// Numbers those.
-    pub spared: AtomicU64,
-}
-
-/// Which connections go first where there are too many; of equals the oldest.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Rank {
-    /// It has had its last word.
-    Parting,
-    /// It has never sent a stream or a call-back.
-    Stranger,
-    /// It is between requests.
-    Idle,
-}
-
-/// A connection that may go, until this is dropped.
-struct Spare(Arc<Front>, (Rank, u64));
-
-impl Spare {
-    /// It is needed from now on; false where it has been ended: what it sent is not taken, and may be sent again.
-    fn keep(self) -> bool {
-        self.0.spares().remove(&self.1).is_some()
-    }
-}
-
-impl Drop for Spare {
-    fn drop(&mut self) {
-        self.0.spares().remove(&self.1);
-    }
+    /// Bytes that bodies may still take.
+    pub bytes: AtomicUsize,
 }
 
 /// The answer to a call-back.
 const CALLED_BACK: u16 = 204;
-/// Connections beyond the most that are accepted while others are being shed.
-const OVER: usize = 8;
-/// Looks, a millisecond apart, for such as need not be missed before one goes that is between requests.
-const PATIENT: u32 = 4;
 /// Connections kept for call-backs.
 const FOR_CALL_BACKS: usize = 96;
 
@@ -89,72 +48,49 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Front {
-    fn spares(&self) -> MutexGuard<'_, BTreeMap<(Rank, u64), Socket>> {
-        lock(&self.spare)
-    }
-    /// Notes that a connection may go.
-    fn spare(self: &Arc<Front>, rank: Rank, socket: &Socket) -> Spare {
-        let key = (rank, self.spared.fetch_add(1, Ordering::SeqCst));
-        self.spares().insert(key, socket.clone());
-        Spare(self.clone(), key)
+/// Room for a large body.
+struct Bulk(Arc<Front>, usize);
+
+impl Bulk {
+    /// None where there is none.
+    fn new(front: &Arc<Front>, bytes: usize) -> Option<Bulk> {
+        let less = |left: usize| left.checked_sub(bytes);
+        let taken = front.bytes.fetch_update(Ordering::SeqCst, Ordering::SeqCst, less);
+        taken.is_ok().then(|| Bulk(front.clone(), bytes))
     }
-    /// Ends the connection that is missed least, up to a rank; false if there is none.
-    fn shed(&self, up_to: Rank) -> bool {
-        let mut spares = self.spares();
-        let least = spares.first_entry().filter(|e| e.key().0 <= up_to).map(|e| e.remove());
-        least.iter().for_each(Socket::close);
-        least.is_some()
+}
+
+impl Drop for Bulk {
+    fn drop(&mut self) {
+        self.0.bytes.fetch_add(self.1, Ordering::SeqCst);
     }
 }
 
-/// A stream that a connection holds until its answer is written.
-struct Held(Arc<Front>);
+/// A stream that a connection holds until its answer is written, and the room for its body.
+struct Held {
+    front: Arc<Front>,
+    _bulk: Bulk,
+}
 
 impl Held {
     /// None where so many are held that call-backs might find no connection.
-    fn new(front: &Arc<Front>) -> Option<Held> {
-        let held = Held(front.clone());
+    fn new(front: &Arc<Front>, bulk: Bulk) -> Option<Held> {
+        let held = Held { front: front.clone(), _bulk: bulk };
         let others = front.held.fetch_add(1, Ordering::SeqCst);
-        (others + FOR_CALL_BACKS.min(front.most / 4) < front.most).then_some(held)
+        (others + FOR_CALL_BACKS.min(front.table.most / 4) < front.table.most).then_some(held)
     }
 }
 
 impl Drop for Held {
     fn drop(&mut self) {
-        self.0.held.fetch_sub(1, Ordering::SeqCst);
+        self.front.held.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
 /// Accepts connections for ever.
-pub fn accept(front: Arc<Front>, listener: TcpListener) {
-    loop {
-        let Ok((stream, peer)) = listener.accept() else {
-            // Out of descriptors for a moment.
-            may::coroutine::sleep(std::time::Duration::from_millis(2));
-            continue;
-        };
-        let open = front.open.fetch_add(1, Ordering::SeqCst);
-        let serving = front.clone();
-        may::go!(move || {
-            serve(&serving, stream, peer);
-            serving.open.fetch_sub(1, Ordering::SeqCst);
-        });
-        // It may read what has come with it before the next one is looked at.
-        may::coroutine::yield_now();
-        if open >= front.most {
-            // One for one: who was shed ends by an event of its socket, which the runtime looks for when nothing
-            // else runs, and counts until then. Those that are busy may soon be strangers to be shed, so who has
-            // been served waits a little longer.
-            let (mut owed, mut waited) = (!front.shed(Rank::Stranger), 0);
-            while front.open.load(Ordering::SeqCst) >= front.most + OVER {
-                may::coroutine::sleep(std::time::Duration::from_millis(1));
-                waited += 1;
-                let up_to = if waited < PATIENT { Rank::Stranger } else { Rank::Idle };
-                owed = owed && !front.shed(up_to);
-            }
-        }
-    }
+pub fn accept(front: Arc<Front>, listener: &TcpListener) {
+    let table = front.table.clone();
+    table.accept(listener, move |stream, peer| serve(&front, stream, peer));
 }
 
 /// The way to a connection's writer.
@@ -204,7 +140,7 @@
         while let Ok(answer) = box_.recv() {
             // Who borrows the id of another's stream need not stay.
             let astray = answer == Answer::Conflict;
-            let close = astray || lock(&turns).close || front.stopping.load(Ordering::SeqCst);
+            let close = astray || lock(&turns).close || front.inbox.parting();
             let sent = write_answer(&socket, &answer, close);
             front.inbox.wrote();
             match sent {
@@ -213,7 +149,7 @@
                 Err(_) => socket.close(),
             }
             let rank = if close { Rank::Parting } else { Rank::Idle };
-            *lock(&turns) = Turn { spare: Some(front.spare(rank, &socket)), ..Turn::default() };
+            *lock(&turns) = Turn { spare: Some(front.table.spare(rank, &socket)), ..Turn::default() };
             if done.send(sent.is_ok()).is_err() {
                 break;
             }
@@ -243,7 +179,7 @@
     let mut writer: Option<Writer> = None;
     let mut pending: Option<Pending> = None;
     // Until it has sent a stream or a call-back, it is among the first to go where there are too many.
-    let mut stranger = Some(front.spare(Rank::Stranger, &socket));
+    let mut stranger = Some(front.table.spare(Rank::Stranger, &socket));
     // Until it has sent anything that makes sense, it has this long.
     let mut hello = Some(by(HELLO));
     loop {
@@ -253,7 +189,7 @@
             (true, Some(_), _) => reader.fill(by(IDLE)),
             (true, None, Some(_)) => reader.fill(hello.unwrap_or_else(|| by(IDLE))),
             (true, None, None) => {
-                let spare = front.spare(Rank::Idle, &socket);
+                let spare = front.table.spare(Rank::Idle, &socket);
                 let filled = reader.fill(by(IDLE));
                 if spare.keep() { filled } else { Ok(false) }
             }
@@ -284,15 +220,20 @@
         if filled != Ok(true) {
             return;
         }
-        let message = match reader.request(hello.unwrap_or_else(|| by(INCOMING))) {
-            Ok(message) => message,
+        let due = hello.unwrap_or_else(|| by(INCOMING));
+        let whole = reader.request(due).and_then(|head| {
+            let bulk = Bulk::new(front, head.0.bulk()).ok_or(Bad::Status(503))?;
+            Ok((reader.request_body(head, due)?, bulk))
+        });
+        let (message, bulk) = match whole {
+            Ok(whole) => whole,
             Err(bad) => {
                 let status = match bad {
                     Bad::Status(status) => status,
                     Bad::Late => 408,
                     Bad::Ended | Bad::Broken => return,
                 };
-                if http::respond(&socket, status, "", b"", true, by(PARTING)).is_ok() {
+                if http::respond(&socket, status, after(status), b"", true, by(PARTING)).is_ok() {
                     part(front, &socket, &mut reader);
                 }
                 return;
@@ -300,13 +241,13 @@
         };
         let close = message.close;
         let came = clock::now();
-        match route(front, message, (came, peer), (&socket, &mut writer, &mut stranger)) {
+        match route(front, (message, bulk), (came, peer), (&socket, &mut writer, &mut stranger)) {
             Routed::Held(stream) => (pending, hello) = (Some(Pending { stream, close }), None),
             Routed::Shed => return,
             Routed::Reply(status, more) => {
                 // Whose first word made no sense need not stay.
                 let astray = hello.is_some() && (400..500).contains(&status);
-                let close = close || astray || front.stopping.load(Ordering::SeqCst);
+                let close = close || astray || front.inbox.parting();
                 if http::respond(&socket, status, more, b"", close, by(PARTING)).is_err() {
                     return;
                 }
@@ -321,9 +262,14 @@
     }
 }
 
+/// What a local reply says further: when there may be room again.
+fn after(status: u16) -> &'static str {
+    if status == 503 { "Retry-After: 1\r\n" } else { "" }
+}
+
 /// Lets the last answer arrive: closing with bytes unread would reset the connection under it.
 fn part(front: &Arc<Front>, socket: &Socket, reader: &mut Reader) {
-    let _spare = front.spare(Rank::Parting, socket);
+    let _spare = front.table.spare(Rank::Parting, socket);
     socket.finish();
     let by = by(PARTING);
     let mut left = PARTING_READS;
@@ -346,7 +292,7 @@
 
 fn route(
     front: &Arc<Front>,
-    message: Message,
+    (message, bulk): (Message, Bulk),
     from: (Micros, SocketAddr),
     (socket, writer, stranger): (&Socket, &mut Option<Writer>, &mut Option<Spare>),
 ) -> Routed {
@@ -358,7 +304,7 @@
             return Routed::Reply(if known { CALLED_BACK } else { 400 }, "");
         }
         ("GET", "/health/ready") => {
-            let ready = front.inbox.able() && !front.stopping.load(Ordering::SeqCst);
+            let ready = front.inbox.able() && front.inbox.stopping().is_none();
             return Routed::Reply(if ready { 200 } else { 503 }, "");
         }
         ("POST", _) => {}
@@ -368,7 +314,7 @@
     }
     let close = message.close;
     let Some(new) = stream_of(front, message, from) else { return Routed::Reply(400, "") };
-    let Some(held) = Held::new(front) else { return Routed::Reply(503, "Retry-After: 1\r\n") };
+    let Some(held) = Held::new(front, bulk) else { return Routed::Reply(503, after(503)) };
     // Whose request is passed on has to stay for the answer.
     if stranger.take().is_some_and(|s| !s.keep()) {
         return Routed::Shed;
--- a/dispatcher/src/wire/gearman/mod.rs
+++ b/dispatcher/src/wire/gearman/mod.rs
@@ -8,6 +8,7 @@
 
 use super::http::{Bad, Reader, by};
 use super::socket::Socket;
+use super::table::{HELLO, INCOMING, Rank, Spare, Table};
 use crate::memory::{FleetId, Inbox, UpstreamId, UpstreamRequest};
 use client::{Client, Jobs};
 use may::net::{TcpListener, TcpStream};
@@ -18,11 +19,11 @@
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use worker::Worker;
 
-/// How long a peer may take over a packet.
+/// How long a packet may take to go out.
 const TRANSFER: Micros = 10 * SECOND;
 /// How long a connection with nothing under way may be silent.
 const IDLE: Micros = 3600 * SECOND;
@@ -159,8 +160,7 @@
     next_job: AtomicU64,
     /// What job ids begin with: new with every life.
     life: u64,
-    open: AtomicUsize,
-    most: usize,
+    table: Arc<Table>,
 }
 
 /// A connection, of a client, a worker, or both.
@@ -199,8 +199,7 @@
             next_peer: AtomicU64::new(1),
             next_job: AtomicU64::new(1),
             life,
-            open: AtomicUsize::new(0),
-            most,
+            table: Table::new(most),
         }
     }
     fn function(&self, name: &[u8]) -> Option<usize> {
@@ -209,24 +208,9 @@
 }
 
 /// Accepts connections for ever.
-pub fn accept(front: Arc<Gearman>, listener: TcpListener) {
-    loop {
-        let accepted = listener.accept();
-        let Ok((stream, address)) = accepted else {
-            may::coroutine::sleep(std::time::Duration::from_millis(2));
-            continue;
-        };
-        // One too many is closed at once: it has asked for nothing yet.
-        if front.open.load(Ordering::SeqCst) >= front.most {
-            continue;
-        }
-        front.open.fetch_add(1, Ordering::SeqCst);
-        let front = front.clone();
-        may::go!(move || {
-            serve(&front, stream, address);
-            front.open.fetch_sub(1, Ordering::SeqCst);
-        });
-    }
+pub fn accept(front: Arc<Gearman>, listener: &TcpListener) {
+    let table = front.table.clone();
+    table.accept(listener, move |stream, address| serve(&front, stream, address));
 }
 
 fn serve(front: &Arc<Gearman>, stream: TcpStream, address: SocketAddr) {
@@ -239,8 +223,19 @@
     let (writing, writer, out) = (front.clone(), peer.clone(), socket.clone());
     may::go!(move || write(&writing, &writer, &out, &box_));
     let mut client = Client::default();
+    // Until it has sent a packet it has this long, and is among the first to go where there are too many.
+    let hello = by(HELLO);
+    let mut stranger = Some(front.table.spare(Rank::Stranger, &socket));
     loop {
-        let incoming = packet::read(&mut reader, by(IDLE), || by(TRANSFER));
+        let engaged = stranger.is_some() || peer.worker.is_engaged() || client.waits();
+        let idle = (!engaged).then(|| front.table.spare(Rank::Idle, &socket));
+        let incoming = match stranger {
+            Some(_) => packet::read(&mut reader, hello, || hello),
+            None => packet::read(&mut reader, by(IDLE), || by(INCOMING)),
+        };
+        if !stranger.take().or(idle).is_none_or(Spare::keep) {
+            break;
+        }
         let heeded = match incoming {
             Ok(Incoming::Packet(kind, data)) => heed(front, &peer, &mut client, kind, &data),
             Ok(Incoming::Unknown(code)) => {
--- a/dispatcher/src/wire/gearman/packet.rs
+++ b/dispatcher/src/wire/gearman/packet.rs
@@ -46,7 +46,7 @@
 }
 
 /// Reads the next packet or line.
-pub fn read(reader: &mut Reader, idle_by: Micros, whole_by: fn() -> Micros) -> Result<Incoming, Bad> {
+pub fn read(reader: &mut Reader, idle_by: Micros, whole_by: impl Fn() -> Micros) -> Result<Incoming, Bad> {
     if reader.is_empty() && !reader.fill(idle_by)? {
         return Err(Bad::Ended);
     }
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -7,7 +7,7 @@
 use std::ops::Range;
 
 /// Most bytes of a head.
-const HEAD: usize = 16 * 1024;
+const HEAD: usize = 8 * 1024;
 /// Most headers.
 const HEADERS: usize = 64;
 /// Most bytes of a body.
@@ -65,6 +65,10 @@
     pub fn value(&self, name: &str) -> Option<&str> {
         self.header(name).map(|v| self.text(&v).trim())
     }
+    /// The most bytes that its body may take beyond what is read at a time.
+    pub fn bulk(&self) -> usize {
+        if self.chunked { BODY } else { self.length.unwrap_or(0).saturating_sub(CHUNK) }
+    }
     /// The body.
     pub fn body(&self) -> &[u8] {
         &self.raw[self.body.clone()]
@@ -155,9 +159,17 @@
         }
     }
 
-    /// A whole request.
-    pub fn request(&mut self, deadline: Micros) -> Result<Message, Bad> {
-        let (mut message, at) = self.head(deadline, parse_request)?;
+    /// A request's head, and where it ends.
+    pub fn request(&mut self, deadline: Micros) -> Result<(Message, usize), Bad> {
+        self.head(deadline, parse_request)
+    }
+
+    /// The rest of it.
+    pub fn request_body(
+        &mut self,
+        (mut message, at): (Message, usize),
+        deadline: Micros,
+    ) -> Result<Message, Bad> {
         if message.expects && message.length.is_some_and(|l| self.buffer.len() < at + l) {
             let go_on = self.socket.write(&[b"HTTP/1.1 100 Continue\r\n\r\n"], deadline);
             go_on.map_err(|_| Bad::Broken)?;
--- a/dispatcher/src/wire/mod.rs
+++ b/dispatcher/src/wire/mod.rs
@@ -7,4 +7,5 @@
 pub mod http;
 pub mod ipfix;
 pub mod socket;
+pub mod table;
 pub mod upstream;
--- /dev/null
+++ b/dispatcher/src/wire/table.rs
@@ -0,0 +1,122 @@
+//! The connections that a front accepts: how many there may be, and which of them go where there are too many.
+
+use super::socket::Socket;
+use may::net::{TcpListener, TcpStream};
+use roselock::{Micros, SECOND};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How long a connection may take from its first moment to its first whole message. Who says nothing, or half of
+/// something, is told or closed after it.
+pub const HELLO: Micros = 2 * SECOND;
+/// How long a further message may take to come in, from its first byte.
+pub const INCOMING: Micros = 2 * SECOND;
+/// Connections beyond the most that are accepted while others are being shed.
+const OVER: usize = 8;
+/// Looks, a millisecond apart, for such as need not be missed before one goes that is between requests.
+const PATIENT: u32 = 4;
+
+/// Which connections go first where there are too many; of equals the oldest.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// It has had its last word.
+    Parting,
+    /// It has never sent anything that was of use.
+    Stranger,
+    /// It is between requests.
+    Idle,
+}
+
+/// A front's connections.
+pub struct Table {
+    /// Most connections.
+    pub most: usize,
+    open: AtomicUsize,
+    spare: Mutex<BTreeMap<(Rank, u64), Socket>>,
+    spared: AtomicU64,
+}
+
+impl Table {
+    /// An empty one for so many.
+    pub fn new(most: usize) -> Arc<Table> {
+        Arc::new(Table {
+            most,
+            open: AtomicUsize::new(0),
+            spare: Mutex::default(),
+            spared: AtomicU64::new(0),
+        })
+    }
+    fn spares(&self) -> MutexGuard<'_, BTreeMap<(Rank, u64), Socket>> {
+        self.spare.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+    /// Notes that a connection may go.
+    pub fn spare(self: &Arc<Table>, rank: Rank, socket: &Socket) -> Spare {
+        let key = (rank, self.spared.fetch_add(1, Ordering::SeqCst));
+        self.spares().insert(key, socket.clone());
+        Spare(self.clone(), key)
+    }
+    /// Ends the connection that is missed least, up to a rank; false if there is none.
+    fn shed(&self, up_to: Rank) -> bool {
+        let mut spares = self.spares();
+        let least = spares.first_entry().filter(|e| e.key().0 <= up_to).map(|e| e.remove());
+        least.iter().for_each(Socket::close);
+        least.is_some()
+    }
+
+    /// Accepts connections for ever, each served by a coroutine of its own.
+    pub fn accept<S>(self: &Arc<Table>, listener: &TcpListener, serve: S)
+    where
+        S: Fn(TcpStream, SocketAddr) + Clone + Send + 'static,
+    {
+        loop {
+            let Ok((stream, peer)) = listener.accept() else {
+                // Out of descriptors for a moment.
+                may::coroutine::sleep(Duration::from_millis(2));
+                continue;
+            };
+            let open = self.open.fetch_add(1, Ordering::SeqCst);
+            let (table, serve) = (self.clone(), serve.clone());
+            may::go!(move || {
+                serve(stream, peer);
+                table.open.fetch_sub(1, Ordering::SeqCst);
+            });
+            // It may read what has come with it before the next one is looked at.
+            may::coroutine::yield_now();
+            if open >= self.most {
+                self.make_room();
+            }
+        }
+    }
+
+    /// One goes for one that came. It ends by an event of its socket, which the runtime looks for when nothing else
+    /// runs, and counts until then. Those that are busy may soon be strangers to be shed, so who is between
+    /// requests waits a little longer.
+    fn make_room(&self) {
+        let (mut owed, mut waited) = (!self.shed(Rank::Stranger), 0);
+        while self.open.load(Ordering::SeqCst) >= self.most + OVER {
+            may::coroutine::sleep(Duration::from_millis(1));
+            waited += 1;
+            let up_to = if waited < PATIENT { Rank::Stranger } else { Rank::Idle };
+            owed = owed && !self.shed(up_to);
+        }
+    }
+}
+
+/// A connection that may go, until this is dropped.
+pub struct Spare(Arc<Table>, (Rank, u64));
+
+impl Spare {
+    /// It is needed from now on; false where it has been ended: what it sent is not taken, and may be sent again.
+    pub fn keep(self) -> bool {
+        self.0.spares().remove(&self.1).is_some()
+    }
+}
+
+impl Drop for Spare {
+    fn drop(&mut self) {
+        self.0.spares().remove(&self.1);
+    }
+}
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -43,8 +43,9 @@
         });
         Arc::new(HttpLink { letters, state })
     }
-    fn room(&self) -> bool {
-        self.open.load(Ordering::SeqCst) < self.most
+    fn room(&self, ask: &Ask) -> bool {
+        let kept = if matches!(ask, Ask::Withdraw(_)) { 0 } else { self.most / 8 };
+        self.open.load(Ordering::SeqCst) + kept < self.most
     }
     fn watch(&self) {
         let _ = self.watch.send(());
--- a/dispatcher/tests/gearman.rs
+++ b/dispatcher/tests/gearman.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use rstest::{fixture, rstest};
+use std::io::Write;
 use std::net::SocketAddr;
 
 const FUNCTIONS: &str = r#"cold_s = 0.0
@@ -276,3 +277,21 @@
     serving.join().expect("the worker ends");
     assert_eq!(served, may);
 }
+
+/// Silence and halves of packets: such connections used to stay for an hour, and at the most nobody else came in.
+/// They end within 3 s, and sooner where there are too many; a worker that sleeps stays.
+#[rstest]
+fn who_sends_no_packet_is_not_kept(world: World) {
+    let connected = std::time::Instant::now();
+    let mut half = world.peer();
+    half.0.write_all(b"\0REQ\0\0").expect("it is written");
+    let mut worker = world.worker(&["view"]);
+    let _silent: Vec<Gear> = (0..600).map(|_| world.peer()).collect();
+    let mut client = world.client();
+    let handle = client.submit("view", "u", "data");
+    let job = worker.take();
+    worker.send(WORK_COMPLETE, &[&job[0], "done"]);
+    assert_eq!(client.expect(WORK_COMPLETE), [&handle, "done"]);
+    assert_eq!(half.try_read(), None);
+    assert!(connected.elapsed().as_secs_f64() < 3.0);
+}
