--- a/src/rules.rs
+++ b/src/rules.rs
@@ -94,7 +94,7 @@
     fn alive(&mut self, now: Micros) {
         (self.heard, self.doubt, self.on_trial, self.doubt_pause, self.news) = (now, None, false, 0, true);
     }
-    /// Its process was there at this time, and is: no restart since, if a broken connection alone spoke for one.
+    /// Its process was there then and is: no restart since, if a broken connection alone spoke for one.
     fn lives_on(&mut self, then: Micros) {
         if self.cut && self.broke.is_some_and(|at| then <= at) {
             (self.cut, self.broke, self.news) = (false, None, true);
