Read a load report beside what ran when it was made, not beside what runs when it comes

Checked what of the reports reaches the module: x0 and x1 do, in answers, call-backs and probes alike; queue and eps are dropped. A report is refreshed every 0.36 to 0.89 s and comes 0.13 to 0.44 s late, so it is half a second old on the mean, while Worker::report added what runs now: a job started meanwhile was counted twice, one that ended not at all.

It is kept because the count is right.

--- a/src/api.rs
+++ b/src/api.rs
@@ -410,6 +410,8 @@
     pub free_slots: Option<f64>,
     /// Free memory units.
     pub free_memory: Option<f64>,
+    /// The figures were taken some time before they came.
+    pub delayed: bool,
     /// Share of its cores in use.
     pub util: Option<f64>,
     /// Recent service time without waiting.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,6 +32,7 @@
 const TRIAL_BELOW: f64 = 0.6; // chance of success from which down a worker gets single trials
 const PAUSE: [Micros; 2] = [SECOND / 2, 4 * SECOND]; // between trials, and calls to discovery: first, longest
 const FIRST_ROOM: f64 = 2.0; // of a worker when nothing at all is known, in slots or memory units
+const REPORT_AGE: Micros = SECOND / 2; // of a report that comes with a delay
 const COLD_CARE: f64 = 0.6; // share of the cold budget that is used, since the capacity behind it is a guess
 const PRESUMED: Micros = 5 * SECOND; // how long a process seen down counts as started, as the list is late
 const TOGETHER: Micros = SECOND / 2; // breaks within this span are one event
@@ -126,11 +127,13 @@
         self.news = true;
     }
     fn report(&mut self, gauge: &Gauge, now: Micros) {
+        // Its figures were taken beside what ran then: not what has started since, but what has ended since.
+        let running = self.ran(if gauge.delayed { now - REPORT_AGE } else { now });
         for (r, free) in [(SLOT, gauge.free_slots), (MEMORY, gauge.free_memory)] {
             if let Some(free) = free.filter(|f| f.is_finite()) {
                 // Slots are whole, reports noisy.
-                let free = if r == SLOT { free.round() } else { free };
-                self.room[r].tell(self.running[r], free.max(0.0), now);
+                let free = if r == SLOT { free.round() } else { free }.max(0.0);
+                self.room[r].tell(running[r], free, now);
             }
         }
     }
@@ -325,7 +328,7 @@
         let counted = self.set.safety.allowance.iter().filter(|_| !job.tries.is_empty());
         counted.for_each(|a| log(&mut self.further, now, a.window));
         job.tries.push(Try { booked: true, ..new });
-        worker.book(job.need, 1.0, !self.set.tells_start);
+        worker.book(job.need, 1.0, !self.set.tells_start, now);
         [SLOT, MEMORY].iter().for_each(|&r| worker.view.free[r] -= job.need[r]);
         worker.idle.pop();
         worker.connected = true;
@@ -397,7 +400,7 @@
         let runs = t.started.is_some() || !self.set.tells_start;
         (worker.news, worker.overrun, worker.stood) = (true, f64::NEG_INFINITY, 0.0);
         if std::mem::take(&mut t.booked) {
-            worker.book(job.need, -1.0, runs);
+            worker.book(job.need, -1.0, runs, now);
         }
         if !ran {
             worker.report(gauge, now);
@@ -616,6 +619,7 @@
         match note {
             Note::Started => {
                 if t.started.replace(now).is_none() && t.booked && self.set.tells_start {
+                    worker.mark(now);
                     for r in [SLOT, MEMORY] {
                         worker.running[r] += job.need[r];
                     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -89,7 +89,12 @@
         report_x0: String,
         report_x1: String,
     }
-    Gauge { util: Option<f64>, latency_ms: Option<f64>, x0: Option<f64>, x1: Option<f64> }
+    Gauge {
+        util: Option<f64>,
+        latency_ms: Option<f64>,
+        x0: Option<f64>,
+        x1: Option<f64>,
+    }
 }
 
 /// Seconds on the wire to microseconds.
@@ -161,6 +166,7 @@
         crate::Gauge {
             free_slots: pick(self.slots_in),
             free_memory: pick(self.memory_in),
+            delayed: true,
             util: g.util,
             latency: g.latency_ms.map(|ms| micros(ms / 1e3)),
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -141,6 +141,8 @@
     /// Own bookings, those of them that run, and the learned room for them.
     pub(crate) own: [f64; 2],
     pub(crate) running: [f64; 2],
+    /// What ran until then, latest last: beside this a report was made.
+    pub(crate) past: VecDeque<(Micros, [f64; 2])>,
     pub(crate) room: [Room; 2],
     /// Time from send to start in microseconds; log(run time / work); and a lower bound of the latter from
     /// own jobs that overrun.
@@ -206,6 +208,7 @@
             ready: e.state == Listed::Ready,
             own: [0.0; 2],
             running: [0.0; 2],
+            past: VecDeque::new(),
             room: room.map(|r| Room::new(r, now)),
             wait: Fading::default(),
             pace: Fading::default(),
@@ -270,8 +273,20 @@
         }
         self.resum();
     }
+    /// Bookings are about to change.
+    pub(crate) fn mark(&mut self, now: Micros) {
+        self.past.push_back((now, self.running));
+        while self.past.front().is_some_and(|p| p.0 < now - 2 * SECOND) {
+            self.past.pop_front();
+        }
+    }
+    /// Own bookings that ran at that time.
+    pub(crate) fn ran(&self, at: Micros) -> [f64; 2] {
+        self.past.iter().find(|p| p.0 > at).map_or(self.running, |p| p.1)
+    }
     /// Books a job's need, or frees it with a negative `sign`; `runs`: it counts as running.
-    pub(crate) fn book(&mut self, need: [f64; 2], sign: f64, runs: bool) {
+    pub(crate) fn book(&mut self, need: [f64; 2], sign: f64, runs: bool, now: Micros) {
+        self.mark(now);
         for r in [SLOT, MEMORY] {
             self.own[r] = (self.own[r] + sign * need[r]).max(0.0);
             if runs {
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -500,3 +500,21 @@
         assert!(acts.iter().any(|a| refused(&a)), "job {id} after 2 of 10 s: {acts:?}");
     }
 }
+
+#[test]
+fn a_delayed_report_counts_beside_what_ran_when_it_was_made() {
+    // On portal-norte reports are half a second old on the mean: beside a job started since, the slot it took was
+    // still told as free, and a second job was sent to wait there.
+    let sent = [true, false].map(|delayed| {
+        let mut d = Driver::with_workers(settings(), 1);
+        let gauge = Gauge { free_slots: Some(1.0), delayed, ..Gauge::default() };
+        let told = Event::Health { worker: WorkerId(0), ok: true, gauge };
+        d.feed(std::slice::from_ref(&told));
+        assert_eq!(sends(&d.feed(&[job(1, SAFE)])), [(1, 0)]);
+        d.feed(&[started(1, 0)]);
+        d.pass(20_000);
+        d.feed(&[told]);
+        sends(&d.feed(&[job(2, SAFE)])).len()
+    });
+    assert_eq!(sent, [0, 1]);
+}
