--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -4,9 +4,10 @@
 use super::clock;
 use super::pool::{Need, Pool, Trust};
 use super::*;
+use roselock::settings::fnv;
 use roselock::{Action, Dispatcher, Effect, Event, JobId, JobIn, Listed, Note, Settings};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::mpsc::RecvTimeoutError;
 
 /// After the deadline, a stream that the decisions have not answered is answered here.
@@ -19,6 +20,9 @@
 /// process may be killed. For earlier streams nobody counts on more than their own deadlines.
 const TAKES_ON: Micros = 600_000;
 const OUT_BY: Micros = 3_500_000;
+/// How long an id counts as used, and how many are kept.
+const USED_FOR: Micros = 60_000_000;
+const USED: usize = 8192;
 /// A withdrawal that found no connection is tried again after so long; so many of them are kept.
 const RETRY: Micros = 20_000;
 const UNSENT: usize = 1024;
@@ -104,6 +108,28 @@
     Stream(StreamId),
 }
 
+/// The ids of finished streams that went to a host, by their hashes, for a while.
+#[derive(Default)]
+struct Used {
+    latest: VecDeque<(Micros, u64)>,
+    ids: HashSet<u64>,
+}
+
+impl Used {
+    fn contains(&mut self, id: &str, now: Micros) -> bool {
+        while self.latest.front().is_some_and(|u| u.0 < now - USED_FOR) || self.latest.len() > USED {
+            self.latest.pop_front().iter().for_each(|u| _ = self.ids.remove(&u.1));
+        }
+        self.ids.contains(&fnv(id.as_bytes()))
+    }
+    fn insert(&mut self, id: &str, now: Micros) {
+        let hash = fnv(id.as_bytes());
+        if self.ids.insert(hash) {
+            self.latest.push_back((now, hash));
+        }
+    }
+}
+
 /// What the owner thread owns.
 pub struct Core {
     inbox: Inbox,
@@ -111,6 +137,7 @@
     fleets: Vec<Fleet>,
     streams: HashMap<StreamId, Stream>,
     calls: HashMap<String, StreamId>,
+    used: Used,
     upstreams: HashMap<UpstreamId, Upstream>,
     next_upstream: UpstreamId,
     due: BinaryHeap<Reverse<(Micros, Due)>>,
@@ -132,6 +159,7 @@
             fleets: Vec::new(),
             streams: HashMap::new(),
             calls: HashMap::new(),
+            used: Used::default(),
             upstreams: HashMap::new(),
             next_upstream: 0,
             due: BinaryHeap::new(),
@@ -248,7 +276,8 @@
         self.arrived = now;
         let call = new.payload.id().to_owned();
         // Two live streams of one id could not be told apart by the hosts' call-backs.
-        if self.calls.contains_key(&call) {
+        // An id is new with every request: one that went to a host before would have its effect again.
+        if self.calls.contains_key(&call) || self.used.contains(&call, now) {
             return new.downstream.answer(Answer::Conflict);
         }
         if new.deadline <= now {
@@ -288,6 +317,9 @@
     fn forget(&mut self, id: StreamId) {
         if let Some(stream) = self.streams.get(&id).filter(|s| s.answered && s.out.is_none()) {
             self.calls.remove(stream.payload.id());
+            if stream.rounds > 0 {
+                self.used.insert(stream.payload.id(), clock::now());
+            }
             self.streams.remove(&id);
         }
     }
--- a/dispatcher/tests/platform.rs
+++ b/dispatcher/tests/platform.rs
@@ -471,3 +471,21 @@
     assert_eq!(dispatcher.call_back("c3", "s-1", DONE), 204);
     assert_eq!(client.read().expect("an answer").status(), 200);
 }
+
+/// A payment went out a second time under the id of one that was done: ids are new with every request, so a borrowed
+/// one is turned away while it is open and afterwards. One that never went to a host may come again.
+#[rstest]
+fn a_used_id_is_not_passed_on_again() {
+    let host = Host::new("s-1");
+    let (_discovery, dispatcher) = world(&[&host]);
+    assert_eq!(dispatcher.ask("c1", "pay", 0.0).read().expect("an answer").status(), 500);
+    let mut client = dispatcher.ask("c1", "pay", 10.0);
+    let (mut peer, _) = host.take();
+    let borrow = || dispatcher.ask("c1", "pay", 10.0).read().expect("an answer").status();
+    assert_eq!(borrow(), 409);
+    assert_eq!(dispatcher.call_back("c1", "s-1", DONE), 204);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    assert_eq!(borrow(), 409);
+    client.ask("c2", "pay", 10.0);
+    assert_eq!(peer.read().expect("a request").header("x-call-id"), Some("c2"));
+}
