--- /dev/null
+++ b/crates/gearman/src/packet.rs
@@ -0,0 +1,263 @@
+//! Packet types and their arguments.
+//!
+//! A packet is a magic word of four bytes (`\0REQ` or `\0RES`), the type and the size of what follows (both four
+//! bytes, big-endian), then the arguments with a NUL byte between them. The last argument takes the rest, so data
+//! may hold any bytes.
+
+use std::fmt;
+
+/// Bytes of a packet before its arguments.
+pub const HEAD: usize = 12;
+
+/// Which way a packet goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Magic {
+    /// To a server.
+    Req,
+    /// From a server.
+    Res,
+}
+
+impl Magic {
+    /// Its four bytes.
+    pub const fn bytes(self) -> &'static [u8; 4] {
+        match self {
+            Magic::Req => b"\0REQ",
+            Magic::Res => b"\0RES",
+        }
+    }
+}
+
+/// Who sends a packet type, as the specification lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sender {
+    /// A client.
+    Client,
+    /// A worker.
+    Worker,
+    /// A client or a worker.
+    Peer,
+    /// A server, to clients or workers.
+    Server,
+    /// A worker to the server, and the server to the clients that wait.
+    Relayed,
+}
+
+/// A packet whose arguments are not those of its type.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed {
+    /// The type.
+    pub kind: Kind,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} takes: {}", self.kind.label(), self.kind.arguments().join(", "))
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+macro_rules! packets {
+    ($($name:ident = $code:literal $label:literal $sender:ident ($($field:ident),*);)*) => {
+        /// The packet types by their published numbers. 5 and 43 are not assigned.
+        #[allow(missing_docs)]
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum Kind { $($name = $code),* }
+
+        impl Kind {
+            /// All of them, by number.
+            pub const ALL: &'static [Kind] = &[$(Kind::$name),*];
+
+            /// The type with a number.
+            pub fn of(code: u32) -> Option<Kind> {
+                match code { $($code => Some(Kind::$name),)* _ => None }
+            }
+            /// Its name in the specification.
+            pub fn label(self) -> &'static str {
+                match self { $(Kind::$name => $label),* }
+            }
+            /// Who sends it.
+            pub fn sender(self) -> Sender {
+                match self { $(Kind::$name => Sender::$sender),* }
+            }
+            /// The names of its arguments, in order.
+            pub fn arguments(self) -> &'static [&'static str] {
+                match self { $(Kind::$name => &[$(stringify!($field)),*]),* }
+            }
+        }
+
+        /// A packet with its arguments, which lie in the bytes that it was read from.
+        #[allow(missing_docs)]
+        #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+        pub enum Packet<'a> { $($name { $($field: &'a [u8]),* }),* }
+
+        impl<'a> Packet<'a> {
+            /// Its type.
+            pub fn kind(&self) -> Kind {
+                match self { $(Packet::$name { .. } => Kind::$name),* }
+            }
+            /// Reads the arguments of a packet.
+            ///
+            /// # Errors
+            /// Where some are missing. Data that is missing with its separator counts as empty in the last words on
+            /// a job, since old workers leave both out.
+            pub fn parse(kind: Kind, data: &'a [u8]) -> Result<Packet<'a>, Malformed> {
+                match kind {
+                    $(Kind::$name => {
+                        let [$($field),*] = split(data, kind).ok_or(Malformed { kind })?;
+                        Ok(Packet::$name { $($field),* })
+                    })*
+                }
+            }
+            /// Writes it.
+            pub fn write(&self, magic: Magic, out: &mut Vec<u8>) {
+                match self {
+                    $(Packet::$name { $($field),* } => encode(magic, Kind::$name, &[$($field),*], out)),*
+                }
+            }
+        }
+    };
+}
+
+packets! {
+    CanDo = 1 "CAN_DO" Worker (function);
+    CantDo = 2 "CANT_DO" Worker (function);
+    ResetAbilities = 3 "RESET_ABILITIES" Worker ();
+    PreSleep = 4 "PRE_SLEEP" Worker ();
+    Noop = 6 "NOOP" Server ();
+    SubmitJob = 7 "SUBMIT_JOB" Client (function, unique, data);
+    JobCreated = 8 "JOB_CREATED" Server (handle);
+    GrabJob = 9 "GRAB_JOB" Worker ();
+    NoJob = 10 "NO_JOB" Server ();
+    JobAssign = 11 "JOB_ASSIGN" Server (handle, function, data);
+    WorkStatus = 12 "WORK_STATUS" Relayed (handle, numerator, denominator);
+    WorkComplete = 13 "WORK_COMPLETE" Relayed (handle, data);
+    WorkFail = 14 "WORK_FAIL" Relayed (handle);
+    GetStatus = 15 "GET_STATUS" Client (handle);
+    EchoReq = 16 "ECHO_REQ" Peer (data);
+    EchoRes = 17 "ECHO_RES" Server (data);
+    SubmitJobBg = 18 "SUBMIT_JOB_BG" Client (function, unique, data);
+    Error = 19 "ERROR" Server (code, text);
+    StatusRes = 20 "STATUS_RES" Server (handle, known, running, numerator, denominator);
+    SubmitJobHigh = 21 "SUBMIT_JOB_HIGH" Client (function, unique, data);
+    SetClientId = 22 "SET_CLIENT_ID" Worker (name);
+    CanDoTimeout = 23 "CAN_DO_TIMEOUT" Worker (function, seconds);
+    AllYours = 24 "ALL_YOURS" Worker ();
+    WorkException = 25 "WORK_EXCEPTION" Relayed (handle, data);
+    OptionReq = 26 "OPTION_REQ" Peer (option);
+    OptionRes = 27 "OPTION_RES" Server (option);
+    WorkData = 28 "WORK_DATA" Relayed (handle, data);
+    WorkWarning = 29 "WORK_WARNING" Relayed (handle, data);
+    GrabJobUniq = 30 "GRAB_JOB_UNIQ" Worker ();
+    JobAssignUniq = 31 "JOB_ASSIGN_UNIQ" Server (handle, function, unique, data);
+    SubmitJobHighBg = 32 "SUBMIT_JOB_HIGH_BG" Client (function, unique, data);
+    SubmitJobLow = 33 "SUBMIT_JOB_LOW" Client (function, unique, data);
+    SubmitJobLowBg = 34 "SUBMIT_JOB_LOW_BG" Client (function, unique, data);
+    SubmitJobSched = 35 "SUBMIT_JOB_SCHED" Client (function, unique, minute, hour, day, month, weekday, data);
+    SubmitJobEpoch = 36 "SUBMIT_JOB_EPOCH" Client (function, unique, epoch, data);
+    SubmitReduceJob = 37 "SUBMIT_REDUCE_JOB" Client (function, unique, reducer, data);
+    SubmitReduceJobBackground = 38 "SUBMIT_REDUCE_JOB_BACKGROUND" Client (function, unique, reducer, data);
+    GrabJobAll = 39 "GRAB_JOB_ALL" Worker ();
+    JobAssignAll = 40 "JOB_ASSIGN_ALL" Server (handle, function, unique, reducer, data);
+    GetStatusUnique = 41 "GET_STATUS_UNIQUE" Client (unique);
+    StatusResUnique = 42 "STATUS_RES_UNIQUE" Server (unique, known, running, numerator, denominator, waiters);
+}
+
+impl Kind {
+    /// The type with a name of the specification.
+    pub fn named(label: &str) -> Option<Kind> {
+        Kind::ALL.iter().copied().find(|k| k.label() == label)
+    }
+    /// Whether a server may get it.
+    pub fn is_request(self) -> bool {
+        self.sender() != Sender::Server
+    }
+    /// Old workers end a job without data by its handle alone.
+    fn may_omit_data(self) -> bool {
+        matches!(self, Kind::WorkComplete | Kind::WorkException | Kind::WorkData | Kind::WorkWarning)
+    }
+}
+
+fn split<const N: usize>(data: &[u8], kind: Kind) -> Option<[&[u8]; N]> {
+    let mut parts = [&b""[..]; N];
+    let mut rest = data;
+    for (i, part) in parts.iter_mut().enumerate() {
+        if i + 1 == N {
+            *part = rest;
+            break;
+        }
+        match rest.iter().position(|b| *b == 0) {
+            Some(end) => (*part, rest) = (&rest[..end], &rest[end + 1..]),
+            None if kind.may_omit_data() => {
+                *part = rest;
+                break;
+            }
+            None => return None,
+        }
+    }
+    Some(parts)
+}
+
+/// The first twelve bytes of a packet with so many bytes of arguments.
+pub fn head(magic: Magic, kind: Kind, size: usize) -> [u8; HEAD] {
+    let mut head = [0; HEAD];
+    head[..4].copy_from_slice(magic.bytes());
+    head[4..8].copy_from_slice(&(kind as u32).to_be_bytes());
+    head[8..].copy_from_slice(&(size as u32).to_be_bytes());
+    head
+}
+
+/// Appends a packet.
+pub fn encode(magic: Magic, kind: Kind, args: &[&[u8]], out: &mut Vec<u8>) {
+    let size = args.iter().map(|a| a.len()).sum::<usize>() + args.len().saturating_sub(1);
+    out.reserve(HEAD + size);
+    out.extend_from_slice(&head(magic, kind, size));
+    for (i, arg) in args.iter().enumerate() {
+        if i > 0 {
+            out.push(0);
+        }
+        out.extend_from_slice(arg);
+    }
+}
+
+/// A packet of its own.
+pub fn packet(magic: Magic, kind: Kind, args: &[&[u8]]) -> Vec<u8> {
+    let mut out = Vec::new();
+    encode(magic, kind, args, &mut out);
+    out
+}
+
+/// A whole number in an argument, as decimal digits.
+pub fn number(arg: &[u8]) -> Option<u64> {
+    std::str::from_utf8(arg).ok()?.trim().parse().ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    /// The numbers are the specification's: a shifted table would still read back what it wrote.
+    #[rstest]
+    #[case(7, "SUBMIT_JOB", 3)]
+    #[case(20, "STATUS_RES", 5)]
+    #[case(35, "SUBMIT_JOB_SCHED", 8)]
+    #[case(40, "JOB_ASSIGN_ALL", 5)]
+    #[case(42, "STATUS_RES_UNIQUE", 6)]
+    fn numbers_names_and_arguments(#[case] code: u32, #[case] label: &str, #[case] args: usize) {
+        let kind = Kind::of(code).expect("known");
+        assert_eq!((kind.label(), kind.arguments().len()), (label, args));
+        assert_eq!(Kind::named(label), Some(kind));
+        assert!([0, 5, 43].iter().all(|c| Kind::of(*c).is_none()));
+        assert_eq!(Kind::ALL.len(), 41);
+    }
+
+    #[test]
+    fn missing_arguments_are_named() {
+        let bad = Packet::parse(Kind::SubmitJob, b"f\0u").expect_err("data is missing");
+        assert_eq!(bad.to_string(), "SUBMIT_JOB takes: function, unique, data");
+        let bare = Packet::parse(Kind::WorkComplete, b"H:1").expect("old workers");
+        assert_eq!(bare, Packet::WorkComplete { handle: b"H:1", data: b"" });
+    }
+}
--- a/dispatcher/src/cli.rs
+++ b/dispatcher/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::lifecycle::{config, serve};
+use crate::lifecycle::{config, log, serve};
 use argh::FromArgs;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -34,10 +34,26 @@
             /// turns the export of flows on, with a file such as deploy/ipfix.toml
             #[argh(option)]
             ipfix: Option<PathBuf>,
+            /// the operators' file, with a section for each part, such as deploy/operator.toml
+            #[argh(option)]
+            operator: Option<PathBuf>,
+            /// how much is logged: error, warn, info, debug or trace; goes before the operators' file
+            #[argh(option)]
+            log_level: Option<log::Level>,
+            /// the form of the log: text or json; goes before the operators' file
+            #[argh(option)]
+            log_form: Option<log::Form>,
         }
         impl $name {
             fn load(self) -> Result<config::Config, String> {
-                config::load(config::Files { config: self.config, gearman: self.gearman, ipfix: self.ipfix })
+                config::load(config::Files {
+                    config: self.config,
+                    gearman: self.gearman,
+                    ipfix: self.ipfix,
+                    operator: self.operator,
+                    log_level: self.log_level,
+                    log_form: self.log_form,
+                })
             }
         }
     };
--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -1,5 +1,7 @@
 //! The configuration that a dispatcher is started with.
 
+use super::log;
+use super::problem::{Place, Problem, parse};
 use crate::wire::discovery::List;
 use crate::wire::{gearman, ipfix};
 use roselock::settings::{Options, Site};
@@ -46,8 +48,10 @@
     /// Connections of the platform's front, and of a further one.
     pub downstream: usize,
     pub further: usize,
-    /// Bytes of messages that come in or are held, beyond the first few of each.
+    /// Bytes of messages that come in or are held, beyond the first few of each: of the platform's front, and of a
+    /// further one.
     pub bytes: usize,
+    pub further_bytes: usize,
 }
 
 impl Limits {
@@ -57,11 +61,13 @@
         let sockets = self.sockets.min(1 << 16);
         let spare = sockets.saturating_sub((sockets / 8).clamp(16, 64));
         let part = spare / (3 + further_fronts);
+        let memory = self.memory_mb.clamp(1, 1 << 16) * (1 << 20);
         Shares {
             upstream: part,
             downstream: 2 * part,
             further: part,
-            bytes: self.memory_mb.clamp(1, 1 << 16) * (1 << 20) / 2,
+            bytes: memory / 2 / (1 + further_fronts),
+            further_bytes: memory / 4,
         }
     }
 }
@@ -84,16 +90,43 @@
     pub known: List,
     /// The settings of the decisions.
     pub site: Site,
+    /// The log.
+    pub log: log::File,
     /// The Gearman front, if it is on.
     pub gearman: Option<gearman::File>,
     /// The export of flows, if it is on.
     pub ipfix: Option<ipfix::File>,
 }
 
-/// Reads a file that turns a part on.
-fn load_part<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    toml::from_str(&text).map_err(|e| format!("{}: {e}", path.display()))
+/// The operators' file: a section for each part, and a part without one is off.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Operator {
+    #[serde(default)]
+    log: log::File,
+    #[serde(default)]
+    gearman: Option<gearman::File>,
+    #[serde(default)]
+    ipfix: Option<ipfix::File>,
+}
+
+/// A file of settings that was read: its path, its text, and what its keys begin with.
+struct Text<'a> {
+    path: &'a Path,
+    text: String,
+}
+
+impl<'a> Text<'a> {
+    fn read(path: &'a Path) -> Result<Text<'a>, String> {
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+        Ok(Text { path, text })
+    }
+    fn parse<T: serde::de::DeserializeOwned>(&self) -> Result<T, String> {
+        parse(self.path, &self.text)
+    }
+    fn at(&self, prefix: &str, problem: &Problem) -> String {
+        problem.at(&Place { path: self.path, text: &self.text, prefix })
+    }
 }
 
 /// The files on the command line.
@@ -105,6 +138,11 @@
     pub gearman: Option<PathBuf>,
     /// Turns the export of flows on.
     pub ipfix: Option<PathBuf>,
+    /// Has a section for each part.
+    pub operator: Option<PathBuf>,
+    /// What the command line says of the log goes before the file.
+    pub log_level: Option<log::Level>,
+    pub log_form: Option<log::Form>,
 }
 
 /// Reads the files; `$NODE_NAME`, `$NODE_LISTEN` and `$NODE_DISCOVERY` fill its gaps.
@@ -132,10 +170,7 @@
         }
         number => number.as_u64().unwrap_or(0),
     };
-    let gearman: Option<gearman::File> = files.gearman.as_deref().map(load_part).transpose()?;
-    if let Some(file) = &gearman {
-        gearman::functions(file, &site).map_err(|e| format!("the Gearman front: {e}"))?;
-    }
+    let parts = parts(&files, file.limits, &site)?;
     Ok(Config {
         listen: address("listen", file.listen, "NODE_LISTEN")?,
         discovery: address("discovery", file.discovery, "NODE_DISCOVERY")?,
@@ -143,13 +178,53 @@
         seed,
         limits: file.limits,
         known: file.known,
-        gearman,
-        ipfix: files.ipfix.as_deref().map(load_part).transpose()?,
+        log: parts.log,
+        gearman: parts.gearman,
+        ipfix: parts.ipfix,
         site,
         files,
     })
 }
 
+/// Reads the files that turn parts on: the operators' own, and those of single parts.
+fn parts(files: &Files, limits: Limits, site: &Site) -> Result<Operator, String> {
+    let operator = files.operator.as_deref().map(Text::read).transpose()?;
+    let mut parts: Operator = operator.as_ref().map_or(Ok(Operator::default()), Text::parse)?;
+    if let (Some(text), Some(file)) = (&operator, &parts.gearman) {
+        check_gearman(file, limits, site).map_err(|e| text.at("gearman.", &e))?;
+    }
+    if let (Some(text), Some(file)) = (&operator, &parts.ipfix) {
+        ipfix::check(file).map_err(|e| text.at("ipfix.", &e))?;
+    }
+    let twice = |part: &str| {
+        format!("--{part}: the operators' file has a section [{part}], too; leave one of the two out")
+    };
+    if let Some(path) = &files.gearman {
+        let text = Text::read(path)?;
+        let file = text.parse()?;
+        check_gearman(&file, limits, site).map_err(|e| text.at("", &e))?;
+        if parts.gearman.replace(file).is_some() {
+            return Err(twice("gearman"));
+        }
+    }
+    if let Some(path) = &files.ipfix {
+        let text = Text::read(path)?;
+        let file = text.parse()?;
+        ipfix::check(&file).map_err(|e| text.at("", &e))?;
+        if parts.ipfix.replace(file).is_some() {
+            return Err(twice("ipfix"));
+        }
+    }
+    parts.log.level = files.log_level.unwrap_or(parts.log.level);
+    parts.log.form = files.log_form.unwrap_or(parts.log.form);
+    Ok(parts)
+}
+
+fn check_gearman(file: &gearman::File, limits: Limits, site: &Site) -> Result<(), Problem> {
+    gearman::file::figures(file, limits.shares(1).further_bytes)?;
+    gearman::file::functions(file, site).map(|_| ())
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/dispatcher/src/lifecycle/mod.rs
+++ b/dispatcher/src/lifecycle/mod.rs
@@ -1,4 +1,6 @@
 //! Start and stop.
 
 pub mod config;
+pub mod log;
+pub mod problem;
 pub mod serve;
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -1,6 +1,7 @@
 //! The life of the process: start, ready, SIGHUP, SIGTERM, end.
 
 use super::config::{self, Config};
+use super::log;
 use crate::memory::core::Core;
 use crate::memory::{FleetId, Inbox, Input, clock};
 use crate::wire::discovery::{Registry, Watch, hosts};
@@ -24,6 +25,7 @@
 
 /// Serves until SIGTERM, and then until nothing is owed.
 pub fn run(config: Config) -> Result<(), String> {
+    let _log = log::start(config.log);
     // Before anything else: a signal that nobody catches would end the process.
     let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| e.to_string())?;
     // One core, shared with the thread that owns the decisions.
@@ -67,31 +69,40 @@
     });
     let accepting = front.clone();
     may::go!(move || front::accept(accepting, &listener));
-    if let Some(file) = &config.gearman {
-        let zone = front.site.settings.zone;
-        let mut functions = gearman::functions(file, &front.site)?;
-        for function in functions.iter_mut() {
-            function.fleet = fleet;
-            if function.by_workers() {
-                let set = gearman::settings(&front.site, file.cold_s);
-                let seed = config.seed ^ fnv(function.name.as_bytes());
-                function.fleet = core.add_fleet(set, seed, None)?;
-            }
-        }
+    let gearman = config.gearman.as_ref().map(|file| {
+        let bytes = shares.further_bytes;
+        let figures = gearman::file::figures(file, bytes).map_err(|e| e.to_string())?;
         let life = config.seed ^ fnv(config.name.as_bytes()) ^ clock::now() as u64;
-        let gearman = Gearman::new(functions, inbox.clone(), zone, life, shares.further);
+        let front = Arc::new(Gearman::new(
+            file.clone(),
+            figures,
+            front.site.clone(),
+            inbox.clone(),
+            (fleet, fleet + 1),
+            config.seed,
+            life,
+            shares.further,
+        ));
+        for function in gearman::file::functions(file, &config.site).map_err(|e| e.to_string())? {
+            front.make(function)?;
+        }
+        core.add_feed(Box::new(gearman::Queue(front.clone())));
         let listener = may::net::TcpListener::bind(file.listen)
             .map_err(|e| format!("cannot listen on {}: {e}", file.listen))?;
         let listen = listener.local_addr().map_err(|e| e.to_string())?;
-        eprintln!("{}: Gearman on {listen}", config.name);
-        may::go!(move || gearman::accept(Arc::new(gearman), &listener));
-    }
+        tracing::info!("{}: Gearman on {listen}", config.name);
+        let (accepting, timing) = (front.clone(), front.clone());
+        may::go!(move || gearman::accept(accepting, &listener));
+        may::go!(move || gearman::run_timers(&timing));
+        Ok::<_, String>(front)
+    });
+    let gearman = gearman.transpose()?;
     let name = config.name.clone();
-    eprintln!("{name}: serving on {listen}");
-    heed_signals(signals, config, Parts { inbox, fleet, registry });
+    tracing::info!("{name}: serving on {listen}");
+    heed_signals(signals, config, Parts { inbox, fleet, registry, gearman });
     // This thread owns the decisions from here on.
     core.run();
-    eprintln!("{name}: nothing is owed, done");
+    tracing::info!("{name}: nothing is owed, done");
     Ok(())
 }
 
@@ -100,6 +111,7 @@
     inbox: Inbox,
     fleet: FleetId,
     registry: Registry,
+    gearman: Option<Arc<Gearman>>,
 }
 
 impl Parts {
@@ -107,17 +119,28 @@
     fn reload(&self, old: &Config, new: &Config) {
         let name = &old.name;
         if self.registry.move_to(new.discovery) {
-            eprintln!("{name}: discovery is at {} from now on", new.discovery);
+            tracing::info!("{name}: discovery is at {} from now on", new.discovery);
         }
         if new.site.names_as(&old.site) {
             self.inbox.post(Input::Settings(self.fleet, Box::new(new.site.settings.clone())));
         } else {
-            eprintln!("{name}: other classes, tenants, zones or kinds take effect at the next start");
+            tracing::info!("{name}: other classes, tenants, zones or kinds take effect at the next start");
         }
         if (new.listen, new.limits) != (old.listen, old.limits) {
-            eprintln!("{name}: another address or other limits take effect at the next start");
+            tracing::info!("{name}: another address or other limits take effect at the next start");
+        }
+        log::set_level(new.log.level);
+        match (&self.gearman, &new.gearman) {
+            (Some(front), Some(file)) => match front.reload(file.clone()) {
+                Ok(later) => later.iter().for_each(|what| {
+                    tracing::warn!("{name}: gearman: {what} take effect at the next start");
+                }),
+                Err(why) => tracing::error!("{name}: gearman: the old settings are kept: {why}"),
+            },
+            (None, None) => {}
+            _ => tracing::warn!("{name}: the Gearman front starts or ends with the next start"),
         }
-        eprintln!("{name}: configuration read again");
+        tracing::info!("{name}: configuration read again");
     }
 }
 
@@ -130,7 +153,7 @@
                         parts.reload(&config, &new);
                         config = new;
                     }
-                    Err(why) => eprintln!("{}: the old configuration is kept: {why}", config.name),
+                    Err(why) => tracing::error!("{}: the old configuration is kept: {why}", config.name),
                 }
                 continue;
             }
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -64,6 +64,8 @@
     out: Option<UpstreamId>,
     /// The host that handed it back last, and when.
     handed_back: Option<(WorkerId, Micros)>,
+    /// Attempts that may have run, those before it came in included.
+    ran: u32,
     /// Its last attempt ended by its time.
     timed_out: bool,
     /// Where it was sent last.
@@ -147,6 +149,9 @@
     swept: Micros,
     arrived: Micros,
     flows: Option<Box<dyn FlowSink>>,
+    feeds: Vec<Box<dyn Feed>>,
+    /// The fleet that steps first: they take turns.
+    turn: usize,
 }
 
 impl Core {
@@ -168,9 +173,16 @@
             swept: now,
             arrived: now,
             flows,
+            feeds: Vec::new(),
+            turn: 0,
         }
     }
 
+    /// Adds streams that wait elsewhere.
+    pub fn add_feed(&mut self, feed: Box<dyn Feed>) {
+        self.feeds.push(feed);
+    }
+
     /// Adds a fleet with an instance of the decisions of its own.
     pub fn add_fleet(
         &mut self,
@@ -210,9 +222,16 @@
             let now = clock::now();
             self.fire_due(now);
             self.withdraw_again(now);
-            (0..self.fleets.len()).for_each(|f| self.step(f, now));
+            self.draw(now);
+            // Fleets may share hosts: none has the first word on those that become free each time.
+            self.turn = (self.turn + 1) % self.fleets.len();
+            (self.turn..self.fleets.len()).chain(0..self.turn).for_each(|f| self.step(f, now));
             self.sweep(now);
-            if self.inbox.parting()
+            let parting = self.inbox.parting();
+            if parting {
+                self.feeds.iter().for_each(|f| f.part());
+            }
+            if parting
                 && self.streams.values().all(|s| s.answered)
                 && self.inbox.unwritten() == 0
                 && now - self.arrived >= QUIET
@@ -231,7 +250,18 @@
             if f.events.is_empty() { f.timers.peek().map(|t| t.0.0.max(ready)) } else { Some(ready) }
         });
         let unsent = self.unsent.front().map(|u| u.0);
-        steps.chain(due).chain(unsent).fold(idle, Micros::min)
+        let feeds = self.feeds.iter().filter_map(|f| f.due());
+        steps.chain(feeds).chain(due).chain(unsent).fold(idle, Micros::min)
+    }
+
+    /// Takes in what the feeds have.
+    fn draw(&mut self, now: Micros) {
+        for f in 0..self.feeds.len() {
+            for _ in 0..BATCH {
+                let Some(new) = self.feeds[f].next(now) else { break };
+                self.arrive(new);
+            }
+        }
     }
 
     /// Takes in one input.
@@ -249,6 +279,15 @@
             Input::Upstream(id, heard, link) => self.heard(id, heard, link),
             Input::CallBack(call, from, told, gauge) => self.called_back(&call, &from, told, gauge),
             Input::Hosts(fleet, mode, hosts) => self.list(fleet, mode, hosts),
+            Input::Room(fleet, worker, free) => {
+                let gauge = Gauge { free_slots: Some(free), ..Gauge::default() };
+                self.fleets[fleet].events.push(Event::Health { worker, ok: true, gauge });
+            }
+            Input::Fleet(fleet, set, seed) => {
+                assert_eq!(fleet, self.fleets.len(), "fleets come in the order of their numbers");
+                self.add_fleet(*set, seed, None).expect("checked by whoever made it");
+            }
+            Input::Feed => {}
             Input::WatchBroken(fleet) => {
                 let broken = Event::Fleet { mode: ListMode::Broken, entries: Vec::new() };
                 self.fleets[fleet].events.push(broken);
@@ -257,7 +296,7 @@
                 let fleet = &mut self.fleets[fleet];
                 match fleet.dispatcher.retell(&set) {
                     Ok(()) => fleet.set = *set,
-                    Err(why) => eprintln!("the old settings are kept: {why}"),
+                    Err(why) => tracing::warn!("the old settings are kept: {why}"),
                 }
             }
             // Known from the inbox: this wakes the owner.
@@ -270,7 +309,7 @@
         if let Some(at) = self.inbox.stopping().filter(|at| now - at > TAKES_ON) {
             new.deadline = new.deadline.min(at + OUT_BY);
             if new.deadline <= now {
-                return new.downstream.answer(Answer::Refused(OUT_BY - TAKES_ON));
+                return new.downstream.answer(Answer::Refused(OUT_BY - TAKES_ON), new.ran);
             }
         }
         self.arrived = now;
@@ -278,10 +317,10 @@
         // Two live streams of one id could not be told apart by the hosts' call-backs.
         // An id is new with every request: one that went to a host before would have its effect again.
         if self.calls.contains_key(&call) || self.used.contains(&call, now) {
-            return new.downstream.answer(Answer::Conflict);
+            return new.downstream.answer(Answer::Conflict, new.ran);
         }
         if new.deadline <= now {
-            return new.downstream.answer(Answer::Failed);
+            return new.downstream.answer(Answer::Failed, new.ran);
         }
         self.fleets[new.fleet].events.push(Event::Job(JobIn {
             job: JobId(new.id),
@@ -307,6 +346,7 @@
             rounds: 0,
             out: None,
             handed_back: None,
+            ran: new.ran,
             timed_out: false,
             host: None,
         };
@@ -328,6 +368,8 @@
     fn answer(&mut self, id: StreamId, answer: Answer) {
         let Some(stream) = self.streams.get_mut(&id).filter(|s| !s.answered) else { return };
         stream.answered = true;
+        // One that is out may run, too.
+        let ran = stream.ran + stream.out.is_some() as u32;
         let answer = match answer {
             Answer::Failed if stream.timed_out => Answer::TimedOut,
             answer => answer,
@@ -338,14 +380,24 @@
             Answer::Failed | Answer::Conflict => (Finish::Failed, 0),
             Answer::TimedOut => (Finish::TimedOut, 0),
         };
-        stream.downstream.answer(answer);
+        stream.downstream.answer(answer, ran);
         self.record(id, finish, sent);
         self.forget(id);
     }
 
     /// Takes down that a stream has finished.
     fn record(&self, id: StreamId, finish: Finish, sent: usize) {
-        let Some((flows, stream)) = self.flows.as_ref().zip(self.streams.get(&id)) else { return };
+        let Some(stream) = self.streams.get(&id) else { return };
+        tracing::debug!(
+            id = stream.payload.id(),
+            class = stream.class.0,
+            ms = (clock::now() - stream.came) / 1000,
+            rounds = stream.rounds,
+            ran = stream.ran,
+            bytes = sent,
+            "stream ended: {finish:?}"
+        );
+        let Some(flows) = &self.flows else { return };
         flows.finished(Flow {
             stream: id,
             class: stream.class,
@@ -387,7 +439,10 @@
         }
         match heard {
             Heard::Taken => up.taken = true,
-            Heard::Started => self.notice(id, Note::Started),
+            Heard::Started => {
+                up.taken = true;
+                self.notice(id, Note::Started);
+            }
             Heard::Progress(share) => self.notice(id, Note::Progress(share)),
             Heard::Said(saying, bytes) => {
                 let stream =
@@ -458,6 +513,8 @@
         stream.out = None;
         stream.downstream.running(false);
         stream.timed_out = outcome == Outcome::Timeout;
+        let unproven = self.fleets[fleet].set.safety.full_unproven;
+        stream.ran += !outcome.never_ran(unproven) as u32;
         if outcome == Outcome::Full {
             stream.handed_back = Some((host, clock::now()));
         }
@@ -475,6 +532,10 @@
         let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended) else { return };
         let (fleet, host, stream, taken) = (up.fleet, up.host, up.stream, up.taken);
         let resident = up.link.as_ref().is_some_and(|l| l.resident());
+        if resident && !taken {
+            // It may be taking it just now: it tells whether it did.
+            return up.link.iter().for_each(|l| l.abort(id));
+        }
         if !taken || resident {
             up.link.take().iter().for_each(|l| l.abort(id));
         }
@@ -670,7 +731,7 @@
             }
             Action::Log { text, worker } => {
                 let uid = self.fleets[f].hosts.get(&worker).map_or("?", |h| &h.uid);
-                eprintln!("upstream host {uid}: {text}");
+                tracing::warn!("upstream host {uid}: {text}");
             }
         }
     }
@@ -683,7 +744,7 @@
         let barred = stream.answered
             || stream.out.is_some()
             || deadline <= now
-            || round >= self.fleets[f].set.limits.send_cap;
+            || round.max(stream.ran) >= self.fleets[f].set.limits.send_cap;
         let payload = stream.payload.clone();
         let up = Upstream { stream: job, round, ..Upstream::new(f, worker) };
         let id = self.next_upstream;
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -24,31 +24,33 @@
 /// A request as it came in: one buffer, and where its parts lie in it.
 #[derive(Default)]
 pub struct Payload {
-    /// All of it.
-    pub raw: Vec<u8>,
-    /// The client's id for it.
+    /// All of it; a stream that comes again shares it.
+    pub raw: Arc<Vec<u8>>,
+    /// The client's id for it, where it has one of its own.
     pub id: Range<usize>,
+    /// The id that a front gave it.
+    pub given: Option<String>,
     /// The method.
     pub method: Range<usize>,
-    /// Path and query.
+    /// Path and query; a unique id.
     pub target: Range<usize>,
+    /// What a front keeps beside these: a reducer.
+    pub beside: Range<usize>,
     /// The body.
     pub body: Range<usize>,
 }
 
 impl Payload {
-    /// Lays out a payload that came in some other form: id, method, target, body.
-    pub fn compose(parts: [&[u8]; 4]) -> Payload {
-        let mut at = 0;
-        let [id, method, target, body] = parts.map(|p| {
-            at += p.len();
-            at - p.len()..at
-        });
-        Payload { raw: parts.concat(), id, method, target, body }
-    }
     /// The client's id for it.
     pub fn id(&self) -> &str {
-        std::str::from_utf8(&self.raw[self.id.clone()]).unwrap_or("")
+        match &self.given {
+            Some(id) => id,
+            None => std::str::from_utf8(&self.raw[self.id.clone()]).unwrap_or(""),
+        }
+    }
+    /// A part of it.
+    pub fn part(&self, part: &Range<usize>) -> &[u8] {
+        &self.raw[part.clone()]
     }
 }
 
@@ -72,6 +74,8 @@
     pub hint: Option<f64>,
     /// When the client gives it up.
     pub deadline: Micros,
+    /// Attempts that may have run before it came in, of a stream that comes again.
+    pub ran: u32,
     /// The client's address.
     pub peer: SocketAddr,
     /// What to pass on.
@@ -97,8 +101,8 @@
 
 /// The client's side of a stream. Posts only; never waits.
 pub trait Downstream: Send {
-    /// Passes on the final answer.
-    fn answer(&self, answer: Answer);
+    /// Passes on the final answer; so many of its attempts may have run.
+    fn answer(&self, answer: Answer, ran: u32);
     /// Whether a host runs it now, where the client's protocol has a word for it.
     fn running(&self, _runs: bool) {}
     /// The share done, likewise.
@@ -210,12 +214,22 @@
     fn watch(&self);
 }
 
+/// Streams that wait elsewhere until the owner has room for them. Called by the owner alone; never waits.
+pub trait Feed: Send {
+    /// The next one, if one may come in now.
+    fn next(&self, now: Micros) -> Option<NewStream>;
+    /// When one may come in without further news.
+    fn due(&self) -> Option<Micros>;
+    /// The process is about to end: who still waits is told. Called over and over until the end.
+    fn part(&self);
+}
+
 /// What was heard of an upstream request.
 #[derive(Debug)]
 pub enum Heard {
     /// The host has it; word of its end comes later.
     Taken,
-    /// It runs.
+    /// The host has it and runs it.
     Started,
     /// This share of it is done.
     Progress(f64),
@@ -277,6 +291,12 @@
     CallBack(String, String, Told, Gauge),
     /// News of the hosts.
     Hosts(FleetId, ListMode, Vec<ListedHost>),
+    /// A host that came to us has so many hands free, by what it does elsewhere.
+    Room(FleetId, WorkerId, f64),
+    /// A new fleet, with settings and a seed.
+    Fleet(FleetId, Box<Settings>, u64),
+    /// A feed may have something.
+    Feed,
     /// The watch on the hosts broke.
     WatchBroken(FleetId),
     /// New settings of the decisions, for the same names.
--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -142,7 +142,7 @@
                     (watched, self.rev) = (moves, None);
                 }
                 let ended = self.watch(at, moves);
-                eprintln!("discovery at {at}: the watch ended: {ended:?}");
+                tracing::warn!("discovery at {at}: the watch ended: {ended:?}");
                 if self.registry.place().moves == moves {
                     break;
                 }
@@ -209,7 +209,7 @@
                 let hosts = hosts(&list, &mut self.site);
                 self.inbox.post(Input::Hosts(self.fleet, mode, hosts));
             }
-            Err(e) => eprintln!("discovery: not a list: {e}"),
+            Err(e) => tracing::warn!("discovery: not a list: {e}"),
         }
     }
 }
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -100,7 +100,7 @@
 }
 
 impl Downstream for Mailbox {
-    fn answer(&self, answer: Answer) {
+    fn answer(&self, answer: Answer, _ran: u32) {
         self.inbox.owe_write();
         if self.letters.send(answer).is_err() {
             self.inbox.wrote();
@@ -332,7 +332,7 @@
 struct Nobody;
 
 impl Downstream for Nobody {
-    fn answer(&self, _: Answer) {}
+    fn answer(&self, _: Answer, _: u32) {}
 }
 
 /// A further figure of a request, from `name=value,name=value`.
@@ -361,6 +361,7 @@
         slots: figure(info, "slots").unwrap_or(1.0),
         memory: figure(info, "memory").unwrap_or(0.0),
         hint: message.value("x-call-cost").and_then(|h| h.parse().ok()),
+        ran: 0,
         deadline: came + (budget * SECOND as f64) as Micros,
         peer,
         downstream: Box::new(Nobody),
@@ -369,7 +370,8 @@
             method: message.method,
             target: message.target,
             body: message.body,
-            raw: message.raw,
+            raw: Arc::new(message.raw),
+            ..Payload::default()
         }),
     })
 }
--- /dev/null
+++ b/dispatcher/src/wire/gearman/connection.rs
@@ -0,0 +1,220 @@
+//! One connection: bytes in, packets heeded, answers out.
+
+use super::outbox::{self, Letter, Outbox};
+use super::{Gearman, Peer, TRANSFER, admin, error, jobs, lock, reply};
+use crate::wire::http::by;
+use crate::wire::socket::Socket;
+use crate::wire::table::{HELLO, INCOMING, Rank, Spare};
+use may::net::{TcpListener, TcpStream};
+use may::sync::mpsc::channel;
+use roselock::{Micros, SECOND};
+use roselock_gearman::decode::CHUNK;
+use roselock_gearman::packet::number;
+use roselock_gearman::{Decoder, Frame, Kind, Limits, Magic, Packet};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// How long a connection with nothing under way may be silent.
+const IDLE: Micros = 3600 * SECOND;
+/// Least pace of a large packet, in bytes a second, beyond the time that any packet has.
+const PACE: Micros = 64 * 1024;
+/// Longest name of a peer.
+const NAME: usize = 128;
+
+/// Accepts connections for ever.
+pub fn accept(front: Arc<Gearman>, listener: &TcpListener) {
+    let table = front.table.clone();
+    table.accept(listener, move |stream, address| serve(&front, stream, address));
+}
+
+fn serve(front: &Arc<Gearman>, stream: TcpStream, address: SocketAddr) {
+    let socket = Socket::new(stream);
+    let (letters, box_) = channel();
+    let number = front.next_peer.fetch_add(1, Ordering::SeqCst);
+    let peer = Arc::new(Peer {
+        number,
+        address,
+        outbox: Outbox::new(letters, socket.clone(), front.figures.outbox),
+        name: Mutex::default(),
+        worker: Mutex::default(),
+        timed: AtomicI64::new(0),
+        is_worker: AtomicBool::new(false),
+    });
+    lock(&front.peers).insert(number, peer.clone());
+    let (writing, writer, out) = (front.clone(), peer.clone(), socket.clone());
+    may::go!(move || outbox::write(&writing, &writer, &out, &box_));
+    read(front, &peer, &socket);
+    // Whatever it ran or waited for, it is gone.
+    lock(&front.peers).remove(&number);
+    peer.leave(front);
+    jobs::leave(front, &peer);
+    let _ = peer.outbox.post(Letter::End);
+    if !peer.outbox.has_overflown() {
+        socket.close();
+    }
+}
+
+/// Reads until the connection ends.
+fn read(front: &Arc<Gearman>, peer: &Arc<Peer>, socket: &Socket) {
+    // Beside a job's data a packet has its names.
+    let limits = Limits { packet: front.figures.job + 4096, ..Limits::default() };
+    let mut decoder = Decoder::new(Magic::Req, limits);
+    let mut buffer = vec![0; CHUNK];
+    let mut exceptions = false;
+    // Until it has sent a packet it has this long, and is among the first to go where there are too many.
+    let hello = by(HELLO);
+    let mut stranger = Some(front.table.spare(Rank::Stranger, socket));
+    let mut whole_by = 0;
+    loop {
+        let engaged = lock(&peer.worker).is_worker() || lock(&front.jobs).backlog.waits(peer.number) > 0;
+        let inside = decoder.is_inside();
+        let idle = (stranger.is_none() && !engaged && !inside).then(|| front.table.spare(Rank::Idle, socket));
+        let until = match (&stranger, inside) {
+            (Some(_), _) => hello,
+            (_, true) => whole_by,
+            (_, false) => by(IDLE),
+        };
+        if peer.is_worker.load(Ordering::Relaxed) && !inside {
+            // Its library may hold its next packet back until this one is acknowledged.
+            socket.acknowledge();
+        }
+        let came = socket.read(&mut buffer, until);
+        if !idle.is_none_or(Spare::keep) {
+            return;
+        }
+        let n = match came {
+            Ok(0) => return,
+            Ok(n) => n,
+            Err(e) if e.kind() == ErrorKind::TimedOut && stranger.is_none() && !inside && engaged => continue,
+            Err(_) => return,
+        };
+        if !decoder.is_inside() {
+            whole_by = by(INCOMING);
+        }
+        decoder.feed(&buffer[..n]);
+        loop {
+            let frame = match decoder.next_frame() {
+                Ok(Some(frame)) => frame,
+                Ok(None) => break,
+                Err(_) => {
+                    let words = error("BAD_PACKET", "not a packet, or a line without an end");
+                    let _ = socket.write(&[&words], by(TRANSFER));
+                    return;
+                }
+            };
+            if let Frame::Large(kind, size) = frame {
+                whole_by = by(INCOMING + size as Micros * SECOND / PACE);
+                if jobs::submits(kind) && !jobs::has_room_for(front, size) {
+                    decoder.skip();
+                }
+                continue;
+            }
+            if !stranger.take().is_none_or(Spare::keep) {
+                return;
+            }
+            whole_by = by(INCOMING);
+            if !heed_frame(front, peer, frame, &mut exceptions) {
+                return;
+            }
+            // Who does not read what it asked for is not read from either.
+            while peer.outbox.is_high() {
+                may::coroutine::sleep(Duration::from_millis(1));
+            }
+        }
+    }
+}
+
+/// Heeds one frame; false ends the connection.
+fn heed_frame(front: &Arc<Gearman>, peer: &Arc<Peer>, frame: Frame, exceptions: &mut bool) -> bool {
+    let heeded = match frame {
+        Frame::Packet(kind, data) if jobs::submits(kind) => {
+            jobs::submit(front, peer, kind, data, *exceptions)
+        }
+        Frame::Packet(kind, data) => match Packet::parse(kind, &data) {
+            Ok(packet) => heed(front, peer, packet, &data, exceptions),
+            Err(malformed) => Some(error("INVALID_ARGUMENTS", &malformed.to_string())),
+        },
+        Frame::Unknown(code) => {
+            Some(error("UNKNOWN_COMMAND", &format!("packet type {code} is not assigned")))
+        }
+        Frame::Skipped(kind, size) if jobs::submits(kind) && size <= front.figures.job + 4096 => {
+            Some(error("QUEUE_FULL", "the data of waiting jobs takes all memory for it; try again later"))
+        }
+        Frame::Skipped(kind, size) => {
+            if matches!(kind, Kind::WorkComplete | Kind::WorkData) {
+                peer.result_too_large(front);
+            }
+            let text = format!("{} of {size} bytes; at most {}", kind.label(), front.figures.job);
+            Some(error("TOO_LARGE", &text))
+        }
+        Frame::Large(..) => None,
+        Frame::Line(line) => {
+            let answer = admin::answer(front, peer, &String::from_utf8_lossy(&line));
+            let ends = answer.is_none();
+            peer.send(answer.unwrap_or_else(|| "OK\n".into()).into_bytes());
+            if ends {
+                front.stop();
+            }
+            None
+        }
+    };
+    heeded.into_iter().for_each(|bytes| peer.send(bytes));
+    true
+}
+
+/// Heeds one packet that submits nothing; what it returns goes back to the sender.
+fn heed(
+    front: &Arc<Gearman>,
+    peer: &Arc<Peer>,
+    packet: Packet,
+    data: &[u8],
+    exceptions: &mut bool,
+) -> Option<Vec<u8>> {
+    use Packet as P;
+    match packet {
+        P::GetStatus { handle } => Some(jobs::status(front, handle)),
+        P::GetStatusUnique { unique } => Some(jobs::status_by_unique(front, unique)),
+        P::OptionReq { option: b"exceptions" } => {
+            *exceptions = true;
+            Some(reply(Kind::OptionRes, &[b"exceptions"]))
+        }
+        P::OptionReq { .. } => Some(error("UNKNOWN_OPTION", "the only option is exceptions")),
+        P::EchoReq { data } => Some(reply(Kind::EchoRes, &[data])),
+        P::SetClientId { name } => {
+            let name = String::from_utf8_lossy(&name[..name.len().min(NAME)]);
+            *lock(&peer.name) = name.split_whitespace().collect::<Vec<_>>().join("_");
+            None
+        }
+        // Workers are chosen one by one: there is no sharing to be asked out of.
+        P::AllYours {} => None,
+        P::CanDo { function } => peer.can_do(front, function, None),
+        P::CanDoTimeout { function, seconds } => {
+            let Some(seconds) = number(seconds).filter(|s| *s <= 366 * 86_400) else {
+                return Some(error("INVALID_ARGUMENTS", "a time limit is a number of seconds"));
+            };
+            peer.can_do(front, function, Some(seconds as Micros * SECOND).filter(|s| *s > 0))
+        }
+        P::CantDo { function } => peer.cant_do(front, function),
+        P::ResetAbilities {} => peer.reset(front),
+        P::PreSleep {} => peer.pre_sleep(front),
+        P::GrabJob {} | P::GrabJobUniq {} | P::GrabJobAll {} => peer.grab(front, packet.kind()),
+        P::WorkStatus { .. } | P::WorkData { .. } | P::WorkWarning { .. } => peer.tell(front, &packet),
+        P::WorkComplete { handle, data: result } => peer.finish(front, handle, Some(result), data.len()),
+        P::WorkFail { handle } => peer.finish(front, handle, None, data.len()),
+        P::WorkException { handle, data } => peer.exception(front, handle, data),
+        _ => Some(error("UNEXPECTED_PACKET", "only a server sends this")),
+    }
+}
+
+impl Gearman {
+    /// Ends the process as SIGTERM does.
+    pub(super) fn stop(&self) {
+        if !self.told_to_stop.swap(true, Ordering::SeqCst) {
+            tracing::info!("gearman: told to stop by an administrator");
+            self.inbox.stop();
+        }
+    }
+}
--- a/dispatcher/src/wire/gearman/mod.rs
+++ b/dispatcher/src/wire/gearman/mod.rs
@@ -1,345 +1,206 @@
-//! The Gearman front: clients' jobs become streams, workers that register become upstream hosts. It translates
-//! and decides nothing; a function's entry says whether its jobs go to Gearman workers or to HTTP hosts.
+//! The Gearman front: clients' jobs wait in the backlog and become streams, workers that register become upstream
+//! hosts. It translates and decides nothing; a function's entry says whether its jobs go to Gearman workers or to
+//! HTTP hosts.
 
 mod admin;
-mod client;
-mod packet;
+mod connection;
+pub mod file;
+mod jobs;
+mod outbox;
+mod reload;
+mod timers;
 mod worker;
 
-use super::http::{Bad, Reader, by};
-use super::socket::Socket;
-use super::table::{HELLO, INCOMING, Rank, Spare, Table};
-use crate::memory::{FleetId, Inbox, UpstreamId, UpstreamRequest};
-use client::{Client, Jobs};
-use may::net::{TcpListener, TcpStream};
-use may::sync::mpsc::{Receiver, Sender, channel};
-use packet::{Incoming, Kind, args, packet};
+use super::table::Table;
+use crate::memory::{FleetId, Inbox, Input};
+use arc_swap::ArcSwap;
+pub use connection::accept;
+pub use file::File;
+use file::Registry;
+pub use jobs::Queue;
+use jobs::Seat;
+use outbox::{Letter, Outbox, Tail};
 use roselock::settings::Site;
-use roselock::{ClassId, Micros, SECOND, Settings, TenantId, ZoneId};
-use serde::Deserialize;
+use roselock::{Micros, SECOND};
+use roselock_backlog::Backlog;
+use roselock_gearman::server;
+use roselock_gearman::{Kind, Magic, packet};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use worker::Worker;
+pub use timers::run as run_timers;
+use worker::{Held, Tally};
 
 /// How long a packet may take to go out.
 const TRANSFER: Micros = 10 * SECOND;
-/// How long a connection with nothing under way may be silent.
-const IDLE: Micros = 3600 * SECOND;
 
-/// The file that turns the front on.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct File {
-    /// Where clients and workers come in.
-    pub listen: SocketAddr,
-    /// How long a worker that just registered counts as cold, in seconds; without it, as the settings say.
-    #[serde(default)]
-    pub cold_s: Option<f64>,
-    /// The functions that are taken.
-    #[serde(default)]
-    pub function: Vec<FunctionEntry>,
-}
-
-/// A function as the file says it.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct FunctionEntry {
-    /// Its name.
-    pub name: String,
-    /// The class of its jobs.
-    pub class: String,
-    /// The class of those submitted with high or low priority, where it differs.
-    #[serde(default)]
-    pub class_high: Option<String>,
-    #[serde(default)]
-    pub class_low: Option<String>,
-    /// Whose jobs they are.
-    #[serde(default)]
-    pub tenant: Option<String>,
-    /// How long its clients wait.
-    pub deadline_s: f64,
-    /// `gearman` for workers that register it, or a path such as `/api/pay` at the HTTP hosts.
-    pub target: String,
-}
-
-/// A function that is taken.
-#[derive(Clone, Debug)]
-pub struct Function {
-    /// Its name.
-    pub name: String,
-    /// Its classes: high, ordinary, low.
-    classes: [ClassId; 3],
-    tenant: Option<TenantId>,
-    patience: Micros,
-    /// The path at the HTTP hosts, where it goes there.
-    path: Option<String>,
-    /// Its fleet.
-    pub fleet: FleetId,
-}
-
-impl Function {
-    /// Whether Gearman workers run it.
-    pub fn by_workers(&self) -> bool {
-        self.path.is_none()
-    }
-}
-
-/// Checks the file against the settings. Functions get the HTTP fleet until one of their own is made.
-pub fn functions(file: &File, site: &Site) -> Result<Vec<Function>, String> {
-    let mut functions: Vec<Function> = Vec::new();
-    for entry in &file.function {
-        let at = |what: String| format!("function {:?}: {what}", entry.name);
-        let class = |name: &String| {
-            let known = site.classes.known(name).map(|c| ClassId(c as u16));
-            known.ok_or_else(|| at(format!("unknown class {name:?}")))
-        };
-        let tenant = match &entry.tenant {
-            Some(t) => Some(site.tenants.known(t).ok_or_else(|| at(format!("unknown tenant {t:?}")))?),
-            None => None,
-        };
-        if entry.name.is_empty() || entry.name.bytes().any(|b| b == 0 || b.is_ascii_whitespace()) {
-            return Err(at("a name has no blanks".into()));
-        }
-        if functions.iter().any(|f| f.name == entry.name) {
-            return Err(at("named twice".into()));
-        }
-        if !(entry.deadline_s > 0.0 && entry.deadline_s <= 3600.0) {
-            return Err(at("deadline_s must be above 0 and at most 3600".into()));
-        }
-        let path = match entry.target.as_str() {
-            "gearman" => None,
-            path if path.starts_with('/') && path.bytes().all(|b| b.is_ascii_graphic()) => {
-                Some(path.to_owned())
-            }
-            other => return Err(at(format!("target {other:?} is neither \"gearman\" nor a path"))),
-        };
-        functions.push(Function {
-            name: entry.name.clone(),
-            classes: [
-                class(entry.class_high.as_ref().unwrap_or(&entry.class))?,
-                class(&entry.class)?,
-                class(entry.class_low.as_ref().unwrap_or(&entry.class))?,
-            ],
-            tenant: tenant.map(|t| TenantId(t as u16)),
-            patience: (entry.deadline_s * SECOND as f64) as Micros,
-            path,
-            fleet: 0,
-        });
-    }
-    Ok(functions)
-}
-
-/// What the decisions of a function's own fleet are told: its workers come to us alone, and take one job each.
-pub fn settings(site: &Site, cold_s: Option<f64>) -> Settings {
-    let mut set = site.settings.clone();
-    (set.fleet_size, set.me, set.must_watch, set.live_units) = (1, 0, false, false);
-    (set.tells_start, set.limits.may_probe, set.limits.max_streams) = (true, false, 1);
-    (set.costs.cross_zone, set.costs.handshake, set.costs.origin) = (0.0, 0.0, 0.0);
-    set.classes.iter_mut().for_each(|c| c.kind = None);
-    if let Some(cold) = cold_s.filter(|c| c.is_finite() && *c >= 0.0) {
-        set.safety.cold = (cold * SECOND as f64) as Micros;
-        if set.safety.cold == 0 {
-            set.safety.cold_share = 1.0;
-        }
-    }
-    set
+/// What the front's coroutines and the owner of the decisions share, in short sections without waits inside.
+struct Jobs {
+    backlog: Backlog<Seat, crate::memory::Payload>,
+    /// By function: workers that take it, those free for it, those that have a job of it.
+    tally: Vec<Tally>,
+    /// The owner knows that there is something to release.
+    nudged: bool,
+    /// Jobs that have ended, by how: told to administrators and the log.
+    ends: Ends,
+}
+
+/// Jobs by their ends.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ends {
+    served: u64,
+    failed: u64,
+    refused: u64,
+    expired: u64,
+    cancelled: u64,
+    left: u64,
+    /// Background jobs among them that ended without a worker's word.
+    lost: u64,
 }
 
 /// What all connections of the front share.
 pub struct Gearman {
-    /// The functions that are taken.
-    pub functions: Vec<Function>,
     /// The way to the decisions.
     pub inbox: Inbox,
-    zone: ZoneId,
+    figures: file::Figures,
+    site: Arc<Site>,
+    seed: u64,
+    functions: ArcSwap<Registry>,
+    /// The entry for functions that are not named, and what makes their fleets.
+    file: ArcSwap<File>,
+    /// Held by whoever makes a function, while it waits for room in the owner's queue.
+    making: may::sync::Mutex<FleetId>,
+    /// The fleet of the HTTP hosts.
+    http: FleetId,
     jobs: Mutex<Jobs>,
     peers: Mutex<BTreeMap<u64, Arc<Peer>>>,
     next_peer: AtomicU64,
-    next_job: AtomicU64,
-    /// What job ids begin with: new with every life.
+    timed: Mutex<std::collections::BTreeSet<(Micros, u64)>>,
+    /// What handles and ids begin with: new with every life.
     life: u64,
     table: Arc<Table>,
+    verbose: AtomicUsize,
+    /// Told by an administrator to end.
+    told_to_stop: AtomicBool,
+    parted: AtomicBool,
 }
 
 /// A connection, of a client, a worker, or both.
 pub struct Peer {
     number: u64,
     address: SocketAddr,
-    letters: Sender<Letter>,
+    outbox: Outbox,
     name: Mutex<String>,
-    worker: Worker,
+    worker: Mutex<server::Worker<usize, Held>>,
+    /// When the timers look at it next, if they do.
+    timed: AtomicI64,
+    is_worker: AtomicBool,
 }
 
-/// What is posted to a connection's writer.
-pub enum Letter {
-    /// Bytes to write; the last word on a job if so marked.
-    Write(Vec<u8>, bool),
-    /// An upstream request for the worker here.
-    Start(UpstreamRequest, usize),
-    /// Its end.
-    Abort(UpstreamId),
-}
-
-/// Short sections without waits inside; the runtime's threads are never held up.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Gearman {
-    /// A front without connections.
-    pub fn new(functions: Vec<Function>, inbox: Inbox, zone: ZoneId, life: u64, most: usize) -> Gearman {
+    /// A front without connections or functions.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        file: File,
+        figures: file::Figures,
+        site: Arc<Site>,
+        inbox: Inbox,
+        (http, fleets): (FleetId, FleetId),
+        seed: u64,
+        life: u64,
+        most: usize,
+    ) -> Gearman {
+        let backlog = Backlog::new(figures.bounds);
+        let jobs = Jobs { backlog, tally: Vec::new(), nudged: false, ends: Ends::default() };
         Gearman {
-            functions,
             inbox,
-            zone,
-            jobs: Mutex::default(),
+            figures,
+            site,
+            seed,
+            functions: ArcSwap::default(),
+            file: ArcSwap::from_pointee(file),
+            making: may::sync::Mutex::new(fleets),
+            http,
+            jobs: Mutex::new(jobs),
             peers: Mutex::default(),
             next_peer: AtomicU64::new(1),
-            next_job: AtomicU64::new(1),
+            timed: Mutex::default(),
             life,
             table: Table::new(most),
+            verbose: AtomicUsize::new(0),
+            told_to_stop: AtomicBool::new(false),
+            parted: AtomicBool::new(false),
         }
     }
-    fn function(&self, name: &[u8]) -> Option<usize> {
-        self.functions.iter().position(|f| f.name.as_bytes() == name)
+
+    /// The functions that are taken.
+    pub fn functions(&self) -> Arc<Registry> {
+        self.functions.load_full()
     }
-}
 
-/// Accepts connections for ever.
-pub fn accept(front: Arc<Gearman>, listener: &TcpListener) {
-    let table = front.table.clone();
-    table.accept(listener, move |stream, address| serve(&front, stream, address));
-}
+    /// Wakes the owner if it may release something and does not know. Called with the jobs locked; what it returns is
+    /// posted after that.
+    fn nudge(&self, jobs: &mut Jobs) -> bool {
+        !jobs.nudged && jobs.backlog.release_at().is_some() && {
+            jobs.nudged = true;
+            true
+        }
+    }
 
-fn serve(front: &Arc<Gearman>, stream: TcpStream, address: SocketAddr) {
-    let socket = Socket::new(stream);
-    let mut reader = Reader::new(socket.clone());
-    let (letters, box_) = channel();
-    let number = front.next_peer.fetch_add(1, Ordering::SeqCst);
-    let peer = Arc::new(Peer { number, address, letters, name: Mutex::default(), worker: Worker::default() });
-    lock(&front.peers).insert(number, peer.clone());
-    let (writing, writer, out) = (front.clone(), peer.clone(), socket.clone());
-    may::go!(move || write(&writing, &writer, &out, &box_));
-    let mut client = Client::default();
-    // Until it has sent a packet it has this long, and is among the first to go where there are too many.
-    let hello = by(HELLO);
-    let mut stranger = Some(front.table.spare(Rank::Stranger, &socket));
-    loop {
-        let engaged = stranger.is_some() || peer.worker.is_engaged() || client.waits();
-        let idle = (!engaged).then(|| front.table.spare(Rank::Idle, &socket));
-        let incoming = match stranger {
-            Some(_) => packet::read(&mut reader, hello, || hello),
-            None => packet::read(&mut reader, by(IDLE), || by(INCOMING)),
-        };
-        if !stranger.take().or(idle).is_none_or(Spare::keep) {
-            break;
+    fn wake_owner(&self, nudge: bool) {
+        if nudge {
+            self.inbox.post(Input::Feed);
         }
-        let heeded = match incoming {
-            Ok(Incoming::Packet(kind, data)) => heed(front, &peer, &mut client, kind, &data),
-            Ok(Incoming::Unknown(code)) => {
-                let text = format!("packet type {code} is not spoken here");
-                Some(error("UNKNOWN_COMMAND", &text))
-            }
-            Ok(Incoming::Line(line)) => Some(admin::answer(front, &line).into_bytes()),
-            Err(Bad::Status(_)) => {
-                let _ = socket.write(&[&error("BAD_PACKET", "too large, or not a packet")], by(TRANSFER));
-                break;
-            }
-            Err(Bad::Late) if peer.worker.is_engaged() || client.waits() => continue,
-            Err(_) => break,
-        };
-        heeded.into_iter().for_each(|bytes| peer.post(bytes, false));
     }
-    // Whatever it ran or waited for, it is gone.
-    lock(&front.peers).remove(&number);
-    peer.worker.leave(front, &peer);
-    client.leave(front, &peer);
-    peer.post(Vec::new(), false);
-    socket.close();
-}
 
-impl Peer {
-    fn post(&self, bytes: Vec<u8>, last: bool) {
-        let _ = self.letters.send(Letter::Write(bytes, last));
+    /// A job's handle, to clients.
+    fn handle(&self, no: u64) -> String {
+        format!("H:roselock-{:08x}:{no}", self.life as u32)
     }
-}
 
-/// The writer ends with an empty letter, after the reader.
-fn write(front: &Arc<Gearman>, peer: &Arc<Peer>, socket: &Socket, box_: &Receiver<Letter>) {
-    let mut open = true;
-    while let Ok(letter) = box_.recv() {
-        let bytes = match letter {
-            Letter::Write(bytes, last) => {
-                if bytes.is_empty() {
-                    break;
-                }
-                open &= !open || socket.write(&[&bytes], by(TRANSFER)).is_ok();
-                if last {
-                    front.inbox.wrote();
-                }
-                None
-            }
-            Letter::Start(request, function) => peer.worker.engage(front, request, function),
-            Letter::Abort(id) => {
-                peer.worker.release(id);
-                None
-            }
-        };
-        if let Some(bytes) = bytes {
-            open &= !open || socket.write(&[&bytes], by(TRANSFER)).is_ok();
-        }
-        if !open {
-            socket.close();
-        }
+    /// The job under a handle.
+    fn job_no(&self, handle: &[u8]) -> Option<u64> {
+        let text = std::str::from_utf8(handle).ok()?;
+        let (life, no) = text.strip_prefix("H:roselock-")?.split_once(':')?;
+        (u32::from_str_radix(life, 16).ok()? == self.life as u32).then(|| no.parse().ok())?
     }
-    // What was posted meanwhile finds nobody: attempts never ran, answers have no reader.
-    while let Ok(letter) = box_.try_recv() {
-        match letter {
-            Letter::Write(_, true) => front.inbox.wrote(),
-            Letter::Start(request, _) => worker::never_ran(front, request.id, true),
-            _ => {}
+
+    /// Has the timers look at a connection at a time.
+    fn time(&self, peer: &Peer, at: Option<Micros>) {
+        let Some(at) = at else { return };
+        let mut timed = lock(&self.timed);
+        let was = peer.timed.load(Ordering::Relaxed);
+        if was == 0 || at < was {
+            timed.remove(&(was, peer.number));
+            timed.insert((at, peer.number));
+            peer.timed.store(at, Ordering::Relaxed);
         }
     }
 }
 
+/// A packet to a peer.
+fn reply(kind: Kind, args: &[&[u8]]) -> Vec<u8> {
+    packet(Magic::Res, kind, args)
+}
+
 fn error(code: &str, text: &str) -> Vec<u8> {
-    packet(Kind::Error, &[code.as_bytes(), text.as_bytes()])
+    reply(Kind::Error, &[code.as_bytes(), text.as_bytes()])
 }
 
-/// Heeds one packet; what it returns goes back to the sender.
-fn heed(
-    front: &Arc<Gearman>,
-    peer: &Arc<Peer>,
-    client: &mut Client,
-    kind: Kind,
-    data: &[u8],
-) -> Option<Vec<u8>> {
-    match kind {
-        Kind::SubmitJob => client.submit(front, peer, data, 1, false),
-        Kind::SubmitJobHigh => client.submit(front, peer, data, 0, false),
-        Kind::SubmitJobLow => client.submit(front, peer, data, 2, false),
-        Kind::SubmitJobBg => client.submit(front, peer, data, 1, true),
-        Kind::SubmitJobHighBg => client.submit(front, peer, data, 0, true),
-        Kind::SubmitJobLowBg => client.submit(front, peer, data, 2, true),
-        Kind::GetStatus => Some(client::status(front, data)),
-        Kind::GetStatusUnique => Some(client::status_by_unique(front, data)),
-        Kind::OptionReq => Some(client.option(data)),
-        Kind::EchoReq => Some(packet(Kind::EchoRes, &[data])),
-        Kind::SetClientId => {
-            *lock(&peer.name) = String::from_utf8_lossy(&data[..data.len().min(128)]).into_owned();
-            None
+impl Peer {
+    fn send(&self, bytes: Vec<u8>) {
+        self.outbox.write(bytes, Tail::None, false);
+    }
+    /// Hands over a job's last word; the process does not end before it is written.
+    fn last_word(&self, front: &Gearman, head: Vec<u8>, tail: Tail) {
+        front.inbox.owe_write();
+        if !self.outbox.write(head, tail, true) {
+            front.inbox.wrote();
         }
-        Kind::AllYours => None,
-        Kind::CanDo => peer.worker.can_do(front, peer, data),
-        Kind::CanDoTimeout => peer.worker.can_do(front, peer, args::<2>(data).map_or(data, |a| a[0])),
-        Kind::CantDo => peer.worker.cant_do(front, peer, data),
-        Kind::ResetAbilities => peer.worker.reset(front, peer),
-        Kind::PreSleep => peer.worker.pre_sleep(),
-        Kind::GrabJob | Kind::GrabJobUniq | Kind::GrabJobAll => Some(peer.worker.grab(front, kind)),
-        Kind::WorkStatus | Kind::WorkData | Kind::WorkWarning => peer.worker.tell(front, kind, data),
-        Kind::WorkComplete | Kind::WorkFail | Kind::WorkException => peer.worker.finish(front, kind, data),
-        _ => Some(error("UNEXPECTED_PACKET", "only a server sends this")),
     }
 }
--- a/dispatcher/src/wire/gearman/worker.rs
+++ b/dispatcher/src/wire/gearman/worker.rs
@@ -1,52 +1,70 @@
 //! The workers' side: a connection that registers a function is an upstream host of that function's fleet.
 
-use super::packet::{Kind, args, packet};
-use super::{Gearman, Letter, Peer, error, lock};
+use super::{Gearman, Letter, Peer, Tail, error, lock, reply};
 use crate::memory::{
     Ask, Heard, Input, Link, LinkIs, ListedHost, Payload, Saying, UpstreamId, UpstreamRequest, clock,
 };
-use may::sync::mpsc::Sender;
 use roselock::settings::fnv;
 use roselock::{CellId, FleetEntry, Gauge, KindId, ListMode, Listed, Micros, Outcome, WorkerId};
-use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex};
+use roselock_gearman::packet::number;
+use roselock_gearman::server::{Chosen, Word};
+use roselock_gearman::{Kind, Packet};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// A job in a worker's hands.
-struct Held {
+#[derive(Debug)]
+pub struct Held {
     id: UpstreamId,
     function: usize,
     payload: Arc<Payload>,
+    grabbed: Micros,
 }
 
-#[derive(Default)]
-struct State {
-    /// Functions it has registered, each with whether it still takes them.
-    able: BTreeMap<usize, bool>,
-    since: Option<Micros>,
-    asleep: bool,
-    gone: bool,
-    /// Chosen for it; it has yet to grab it.
-    chosen: Option<Held>,
-    /// It has it; until it says how it ended, it takes nothing else.
-    runs: Option<Held>,
+impl std::fmt::Debug for Payload {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Payload({})", self.id())
+    }
 }
 
-/// The worker's half of a connection.
-#[derive(Default)]
-pub struct Worker(Mutex<State>);
+impl Held {
+    /// The number of an upstream request.
+    pub fn id_of(request: &UpstreamRequest) -> UpstreamId {
+        request.id
+    }
+    /// Its job, by the id that was given to this turn of it.
+    fn job_no(&self) -> Option<u64> {
+        self.payload.given.as_ref()?.split('-').nth(1)?.parse().ok()
+    }
+}
+
+/// A function's workers: those that take it, those free for it, those that have a job of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    able: isize,
+    free: isize,
+    engaged: isize,
+}
+
+/// What a change of a worker may change elsewhere.
+struct Before {
+    able: Vec<usize>,
+    fit: bool,
+    engaged: Option<usize>,
+}
 
 /// The way to a worker.
 struct WorkerLink {
-    letters: Sender<Letter>,
+    peer: Arc<Peer>,
     function: usize,
 }
 
 impl Link for WorkerLink {
     fn start(&self, request: UpstreamRequest) -> bool {
-        self.letters.send(Letter::Start(request, self.function)).is_ok()
+        self.peer.outbox.post(Letter::Start(request, self.function))
     }
     fn abort(&self, id: UpstreamId) {
-        let _ = self.letters.send(Letter::Abort(id));
+        let _ = self.peer.outbox.post(Letter::Abort(id));
     }
     fn resident(&self) -> bool {
         true
@@ -66,179 +84,300 @@
 }
 
 /// A job's name to a worker: new for each attempt, so that a late word of another is known for what it is.
-fn handle(id: UpstreamId) -> String {
-    format!("H:roselock:a{id}")
+fn handle(id: UpstreamId) -> Vec<u8> {
+    format!("H:roselock:a{id}").into_bytes()
 }
 
-impl Worker {
-    /// Whether it has or is to have a job.
-    pub fn is_engaged(&self) -> bool {
-        let state = lock(&self.0);
-        state.chosen.is_some() || state.runs.is_some() || !state.able.is_empty()
-    }
+type State = roselock_gearman::server::Worker<usize, Held>;
+
+fn before(state: &State) -> Before {
+    let able: Vec<usize> = state.able().collect();
+    let fit = able.first().is_some_and(|f| state.is_free_for(*f));
+    Before { able, fit, engaged: state.engaged_in() }
+}
 
+impl Peer {
+    fn uid(&self) -> String {
+        format!("gearman-{}", self.number)
+    }
+    fn worker_id(&self) -> WorkerId {
+        WorkerId(fnv(self.uid().as_bytes()))
+    }
     /// The functions that it takes.
     pub fn able(&self) -> Vec<usize> {
-        lock(&self.0).able.iter().filter(|a| *a.1).map(|a| *a.0).collect()
+        lock(&self.worker).able().collect()
     }
 
-    fn list(&self, front: &Gearman, peer: &Peer, function: usize, state: Listed) {
-        let uid = format!("gearman-{}", peer.number);
+    /// Changes its state and counts what that changes: how many workers each function has, and what the fleets of
+    /// its other functions may count on.
+    fn change<T>(&self, front: &Gearman, act: impl FnOnce(&mut State) -> T) -> T {
+        let mut state = lock(&self.worker);
+        let old = before(&state);
+        let done = act(&mut state);
+        let new = before(&state);
+        let due = state.due();
+        drop(state);
+        front.time(self, due);
+        if old.able == new.able && old.fit == new.fit && old.engaged == new.engaged {
+            return done;
+        }
+        let mut jobs = lock(&front.jobs);
+        let registered = jobs.tally.len();
+        let mut changed: Vec<usize> = Vec::with_capacity(old.able.len() + 1);
+        for (side, sign) in [(&old, -1), (&new, 1)] {
+            for &f in side.able.iter().filter(|f| **f < registered) {
+                jobs.tally[f].able += sign;
+                jobs.tally[f].free += sign * side.fit as isize;
+                changed.push(f);
+            }
+            if let Some(f) = side.engaged {
+                jobs.tally[f].engaged += sign;
+                changed.push(f);
+            }
+        }
+        changed.sort_unstable();
+        changed.dedup();
+        for f in changed {
+            let Tally { able, free, engaged } = jobs.tally[f];
+            let [able, free, engaged] = [able, free, engaged].map(|n| usize::try_from(n).unwrap_or(0));
+            jobs.backlog.set_workers(f, able, free, engaged);
+        }
+        let nudge = front.nudge(&mut jobs);
+        drop(jobs);
+        if old.fit != new.fit {
+            let registry = front.functions.load();
+            let worker = self.worker_id();
+            let own = old.engaged.or(new.engaged);
+            for f in new.able.iter().filter(|f| Some(**f) != own) {
+                front.inbox.post(Input::Room(registry.all[*f].fleet, worker, new.fit as u8 as f64));
+            }
+        }
+        front.wake_owner(nudge);
+        done
+    }
+
+    fn list(self: &Arc<Self>, front: &Gearman, function: usize, state: Listed) {
         let entry = FleetEntry {
-            worker: WorkerId(fnv(uid.as_bytes())),
+            worker: self.worker_id(),
             state,
-            zone: front.zone,
+            zone: front.site.settings.zone,
             cell: CellId(0),
             kind: KindId(0),
             units: 1.0,
-            up_since: lock(&self.0).since,
+            up_since: lock(&self.worker).since(),
         };
-        let link = WorkerLink { letters: peer.letters.clone(), function };
+        let link = WorkerLink { peer: self.clone(), function };
         let link = (state != Listed::Gone).then(|| Arc::new(link) as Arc<dyn Link>);
-        let host = ListedHost { uid, endpoint: None, entry, link };
-        front.inbox.post(Input::Hosts(front.functions[function].fleet, ListMode::Changes, vec![host]));
+        let host = ListedHost { uid: self.uid(), endpoint: None, entry, link };
+        let fleet = front.functions.load().all[function].fleet;
+        front.inbox.post(Input::Hosts(fleet, ListMode::Changes, vec![host]));
     }
 
     /// It takes a function from now on: as a host that has just started, the first time.
-    pub fn can_do(&self, front: &Gearman, peer: &Peer, name: &[u8]) -> Option<Vec<u8>> {
-        let Some(f) = front.function(name).filter(|f| front.functions[*f].by_workers()) else {
+    pub fn can_do(
+        self: &Arc<Self>,
+        front: &Arc<Gearman>,
+        name: &[u8],
+        limit: Option<Micros>,
+    ) -> Option<Vec<u8>> {
+        let known = front.function_for(name);
+        let Some(f) = known.filter(|f| front.functions.load().all[*f].by_workers()) else {
             return Some(error("UNKNOWN_FUNCTION", "no worker here runs this function"));
         };
-        let mut state = lock(&self.0);
-        state.since.get_or_insert_with(clock::now);
-        state.able.insert(f, true);
-        drop(state);
-        self.list(front, peer, f, Listed::Ready);
+        self.is_worker.store(true, Ordering::Relaxed);
+        self.change(front, |w| w.can_do(f, limit, clock::now()));
+        self.list(front, f, Listed::Ready);
+        let busy = lock(&self.worker).is_engaged();
+        let fleet = front.functions.load().all[f].fleet;
+        front.inbox.post(Input::Room(fleet, self.worker_id(), if busy { 0.0 } else { 1.0 }));
         None
     }
 
     /// It takes a function no more: from now on it drains.
-    pub fn cant_do(&self, front: &Gearman, peer: &Peer, name: &[u8]) -> Option<Vec<u8>> {
-        let f = front.function(name)?;
-        *lock(&self.0).able.get_mut(&f)? = false;
-        self.drain(front, peer, f);
+    pub fn cant_do(self: &Arc<Self>, front: &Gearman, name: &[u8]) -> Option<Vec<u8>> {
+        let f = front.functions.load().find(name)?;
+        let back = self.change(front, |w| w.cant_do(f))?;
+        self.list(front, f, Listed::Draining);
+        // What was chosen for it and not yet grabbed goes back: it has not been seen.
+        back.into_iter().for_each(|held| never_ran(front, held.id, false));
         None
     }
 
     /// It takes nothing any more.
-    pub fn reset(&self, front: &Gearman, peer: &Peer) -> Option<Vec<u8>> {
-        let able = self.able();
-        lock(&self.0).able.values_mut().for_each(|a| *a = false);
-        able.into_iter().for_each(|f| self.drain(front, peer, f));
+    pub fn reset(self: &Arc<Self>, front: &Gearman) -> Option<Vec<u8>> {
+        for f in self.able() {
+            if let Some(back) = self.change(front, |w| w.cant_do(f)) {
+                self.list(front, f, Listed::Draining);
+                back.into_iter().for_each(|held| never_ran(front, held.id, false));
+            }
+        }
         None
     }
 
-    /// What was chosen for it and not yet grabbed goes back: it has not been seen.
-    fn drain(&self, front: &Gearman, peer: &Peer, function: usize) {
-        self.list(front, peer, function, Listed::Draining);
-        let chosen = lock(&self.0).chosen.take_if(|c| c.function == function);
-        chosen.into_iter().for_each(|c| never_ran(front, c.id, false));
+    /// It sleeps until it is woken; at once, if something was chosen meanwhile.
+    pub fn pre_sleep(self: &Arc<Self>, front: &Gearman) -> Option<Vec<u8>> {
+        self.heard(front);
+        self.change(front, |w| w.pre_sleep()).then(|| reply(Kind::Noop, &[]))
     }
 
-    /// It sleeps until it is woken; at once, if something was chosen meanwhile.
-    pub fn pre_sleep(&self) -> Option<Vec<u8>> {
-        let mut state = lock(&self.0);
-        state.asleep = state.chosen.is_none();
-        (!state.asleep).then(|| packet(Kind::Noop, &[]))
+    /// One that was deaf has said something: it is there again.
+    fn heard(self: &Arc<Self>, front: &Gearman) {
+        let able = {
+            let state = lock(&self.worker);
+            if state.is_deaf() { state.able().collect() } else { Vec::new() }
+        };
+        able.into_iter().for_each(|f: usize| self.list(front, f, Listed::Ready));
     }
 
     /// An attempt for it; what it returns wakes it.
     pub fn engage(&self, front: &Gearman, request: UpstreamRequest, function: usize) -> Option<Vec<u8>> {
-        let mut state = lock(&self.0);
         let Ask::Run(payload) = request.ask else { return None };
-        let willing = state.able.get(&function) == Some(&true);
-        if state.gone || !willing || state.chosen.is_some() || state.runs.is_some() {
-            let gone = state.gone;
-            drop(state);
-            never_ran(front, request.id, gone);
-            return None;
+        let held = Held { id: request.id, function, payload, grabbed: 0 };
+        let by = clock::now() + front.figures.grab;
+        match self.change(front, |w| w.choose(function, held, by)) {
+            Chosen::Wake => return Some(reply(Kind::Noop, &[])),
+            Chosen::Kept => {}
+            Chosen::Unwilling(held) => never_ran(front, held.id, false),
+            Chosen::Gone(held) => never_ran(front, held.id, true),
         }
-        state.chosen = Some(Held { id: request.id, function, payload });
-        std::mem::take(&mut state.asleep).then(|| packet(Kind::Noop, &[]))
+        None
     }
 
     /// The attempt is given up. One that it has it keeps, busy with it until it says so.
-    pub fn release(&self, id: UpstreamId) {
-        lock(&self.0).chosen.take_if(|c| c.id == id);
+    pub fn release(&self, front: &Gearman, id: UpstreamId) {
+        let is_it = |held: &Held| held.id == id;
+        let (back, given_up) = self.change(front, |w| match w.withdraw(is_it) {
+            Some(held) => (Some(held), None),
+            None => (None, w.give_up(is_it)),
+        });
+        back.into_iter().for_each(|held| never_ran(front, held.id, false));
+        // Where the owner had not yet heard that it was taken, it hears now that it may have run.
+        given_up.into_iter().for_each(|held| late(front, held.id));
     }
 
     /// It asks for its job.
-    pub fn grab(&self, front: &Gearman, kind: Kind) -> Vec<u8> {
-        let mut state = lock(&self.0);
-        state.asleep = false;
-        if state.runs.is_some() {
-            return packet(Kind::NoJob, &[]);
-        }
-        let Some(held) = state.chosen.take() else { return packet(Kind::NoJob, &[]) };
-        let (id, p) = (held.id, held.payload.clone());
-        state.runs = Some(held);
-        drop(state);
-        front.inbox.post(Input::Upstream(id, Heard::Taken, LinkIs::Busy));
+    pub fn grab(self: &Arc<Self>, front: &Gearman, kind: Kind) -> Option<Vec<u8>> {
+        self.heard(front);
+        let now = clock::now();
+        let taken = self.change(front, |w| {
+            w.grab(now, |held| handle(held.id)).map(|held| (held.id, held.payload.clone()))
+        });
+        let Some((id, p)) = taken else { return Some(reply(Kind::NoJob, &[])) };
+        lock(&self.worker).running_mut(&handle(id)).into_iter().for_each(|held| held.grabbed = now);
         front.inbox.post(Input::Upstream(id, Heard::Started, LinkIs::Busy));
-        let handle = handle(id);
-        let [function, unique, load] = [&p.method, &p.target, &p.body].map(|r| &p.raw[r.clone()]);
-        match kind {
-            Kind::GrabJobUniq => packet(Kind::JobAssignUniq, &[handle.as_bytes(), function, unique, load]),
-            Kind::GrabJobAll => packet(Kind::JobAssignAll, &[handle.as_bytes(), function, unique, b"", load]),
-            _ => packet(Kind::JobAssign, &[handle.as_bytes(), function, load]),
-        }
+        let registry = front.functions.load();
+        let name =
+            registry.find(p.part(&p.method)).map_or(p.part(&p.method), |f| registry.all[f].name.as_bytes());
+        let (handle, unique, reducer) = (handle(id), p.part(&p.target), p.part(&p.beside));
+        let mut head = match kind {
+            Kind::GrabJobUniq => reply(Kind::JobAssignUniq, &[&handle, name, unique, b""]),
+            Kind::GrabJobAll => reply(Kind::JobAssignAll, &[&handle, name, unique, reducer, b""]),
+            _ => reply(Kind::JobAssign, &[&handle, name, b""]),
+        };
+        let size = (head.len() - roselock_gearman::packet::HEAD + p.body.len()) as u32;
+        head[8..12].copy_from_slice(&size.to_be_bytes());
+        self.outbox.write(head, Tail::Data(p), false);
+        None
     }
 
     /// The attempt that it runs, if that is the one it names.
-    fn running(&self, name: &[u8]) -> Option<UpstreamId> {
-        let id = lock(&self.0).runs.as_ref()?.id;
-        (handle(id).as_bytes() == name).then_some(id)
+    fn running(&self, name: &[u8]) -> Option<(UpstreamId, Option<u64>)> {
+        lock(&self.worker).running(name).map(|held| (held.id, held.job_no()))
     }
 
     /// It tells how its job goes.
-    pub fn tell(&self, front: &Gearman, kind: Kind, data: &[u8]) -> Option<Vec<u8>> {
-        let [name, rest] = args::<2>(data)?;
-        let id = self.running(name)?;
-        let heard = match kind {
-            Kind::WorkStatus => {
-                let [done, of] =
-                    args::<2>(rest)?.map(|n| std::str::from_utf8(n).ok()?.trim().parse::<f64>().ok());
-                let share = done? / of?;
-                Heard::Progress(Some(share).filter(|s| (0.0..=1.0).contains(s))?)
+    pub fn tell(&self, front: &Gearman, packet: &Packet) -> Option<Vec<u8>> {
+        let (name, heard) = match *packet {
+            Packet::WorkStatus { handle, numerator, denominator } => {
+                let (done, of) = (number(numerator)?, number(denominator)?);
+                let (_, no) = self.running(handle)?;
+                let no = no?;
+                let mut jobs = lock(&front.jobs);
+                jobs.backlog.set_done(no, done, of);
+                let share = if of > 0 { done as f64 / of as f64 } else { 0.0 };
+                (handle, Heard::Progress(share.clamp(0.0, 1.0)))
             }
-            Kind::WorkData => Heard::Said(Saying::Data, rest.to_vec()),
-            _ => Heard::Said(Saying::Warning, rest.to_vec()),
+            Packet::WorkData { handle, data } => (handle, Heard::Said(Saying::Data, data.to_vec())),
+            Packet::WorkWarning { handle, data } => (handle, Heard::Said(Saying::Warning, data.to_vec())),
+            _ => return None,
         };
+        let (id, _) = self.running(name)?;
         front.inbox.post(Input::Upstream(id, heard, LinkIs::Busy));
         None
     }
 
-    /// It tells how its job ended. Of an attempt that it does not run, nothing is heeded.
-    pub fn finish(&self, front: &Gearman, kind: Kind, data: &[u8]) -> Option<Vec<u8>> {
-        let [name, rest] = args::<2>(data).unwrap_or([data, b""]);
-        let id = self.running(name)?;
-        let heard = match kind {
-            Kind::WorkException => {
-                // It ends with the failure that follows.
-                let said = Heard::Said(Saying::Exception, rest.to_vec());
-                front.inbox.post(Input::Upstream(id, said, LinkIs::Busy));
-                return None;
+    /// It says why its job will fail; it ends with the failure that follows.
+    pub fn exception(&self, front: &Gearman, name: &[u8], why: &[u8]) -> Option<Vec<u8>> {
+        let (id, _) = self.running(name)?;
+        let said = Heard::Said(Saying::Exception, why.to_vec());
+        front.inbox.post(Input::Upstream(id, said, LinkIs::Busy));
+        None
+    }
+
+    /// It tells how its job ended, with a result or a failure. Of an attempt that it does not run, nothing is heeded.
+    pub fn finish(
+        &self,
+        front: &Gearman,
+        name: &[u8],
+        result: Option<&[u8]>,
+        _size: usize,
+    ) -> Option<Vec<u8>> {
+        let word = self.change(front, |w| w.finish(name));
+        let held = match word {
+            Word::Of(held) => held,
+            Word::Late => return None,
+            Word::Foreign => {
+                return Some(error("JOB_NOT_FOUND", "this connection has no job under this handle"));
             }
-            Kind::WorkComplete => Heard::Ended(Outcome::Ok, report(), rest.to_vec()),
-            _ => Heard::Ended(Outcome::Error, report(), Vec::new()),
         };
-        lock(&self.0).runs = None;
-        front.inbox.post(Input::Upstream(id, heard, LinkIs::Free));
+        lock(&front.jobs).backlog.took(held.function, clock::now() - held.grabbed);
+        let heard = match result {
+            Some(data) => Heard::Ended(Outcome::Ok, report(), data.to_vec()),
+            None => Heard::Ended(Outcome::Error, report(), Vec::new()),
+        };
+        front.inbox.post(Input::Upstream(held.id, heard, LinkIs::Free));
         None
     }
 
+    /// Its result does not fit: the job fails, and its hands are free.
+    pub fn result_too_large(&self, front: &Gearman) {
+        let Some(held) = self.change(front, |w| w.drop_job()) else { return };
+        let said = Heard::Said(Saying::Exception, b"the result is too large".to_vec());
+        front.inbox.post(Input::Upstream(held.id, said, LinkIs::Busy));
+        let failed = Heard::Ended(Outcome::Error, report(), Vec::new());
+        front.inbox.post(Input::Upstream(held.id, failed, LinkIs::Free));
+    }
+
+    /// A time of it has come: it did not ask for the job that was chosen for it, or did not end the one that it has.
+    pub fn expire(self: &Arc<Self>, front: &Gearman, now: Micros) {
+        match self.change(front, |w| w.expire(now)) {
+            None => {}
+            Some(Ok(held)) => {
+                tracing::warn!(worker = self.uid(), "gearman: a worker was woken and did not come");
+                self.able().into_iter().for_each(|f| self.list(front, f, Listed::Draining));
+                never_ran(front, held.id, false);
+            }
+            Some(Err(held)) => {
+                tracing::warn!(worker = self.uid(), "gearman: a worker is past its own time limit");
+                late(front, held.id);
+            }
+        }
+    }
+
     /// The connection ended: what it had may have run, what was only chosen for it never did.
-    pub fn leave(&self, front: &Gearman, peer: &Peer) {
-        let mut state = lock(&self.0);
-        state.gone = true;
-        let (chosen, runs) = (state.chosen.take(), state.runs.take());
-        let able: Vec<usize> = std::mem::take(&mut state.able).into_keys().collect();
-        drop(state);
-        chosen.into_iter().for_each(|c| never_ran(front, c.id, true));
-        if let Some(run) = runs {
+    pub fn leave(self: &Arc<Self>, front: &Gearman) {
+        let (able, chosen, runs) = self.change(front, |w| w.leave());
+        chosen.into_iter().for_each(|held| never_ran(front, held.id, true));
+        if let Some(held) = runs {
             let lost = Heard::Ended(Outcome::Reset, Gauge::default(), Vec::new());
-            front.inbox.post(Input::Upstream(run.id, lost, LinkIs::Closed));
+            front.inbox.post(Input::Upstream(held.id, lost, LinkIs::Closed));
         }
-        able.into_iter().for_each(|f| self.list(front, peer, f, Listed::Gone));
+        able.into_iter().for_each(|f| self.list(front, f, Listed::Gone));
     }
 }
+
+/// An attempt that its worker has was given up: it may have run.
+fn late(front: &Gearman, id: UpstreamId) {
+    let ended = Heard::Ended(Outcome::Timeout, report(), Vec::new());
+    front.inbox.post(Input::Upstream(id, ended, LinkIs::Free));
+}
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -118,10 +118,6 @@
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
     }
-    /// What is read and not yet taken.
-    pub fn bytes(&self) -> &[u8] {
-        &self.buffer
-    }
     /// Reads on until there are as many bytes.
     pub fn want(&mut self, bytes: usize, deadline: Micros) -> Result<(), Bad> {
         while self.buffer.len() < bytes {
--- a/dispatcher/src/wire/ipfix.rs
+++ b/dispatcher/src/wire/ipfix.rs
@@ -3,6 +3,7 @@
 //! A bounded queue stands between the decisions and the exporter: what does not fit is dropped and counted, and
 //! the count is exported with the templates.
 
+use crate::lifecycle::problem::Problem;
 use crate::memory::{Finish, Flow, FlowSink, clock};
 use may::net::UdpSocket;
 use may::sync::mpsc::{Receiver, Sender, channel};
@@ -90,13 +91,18 @@
     }
 }
 
+/// Checks the file.
+pub fn check(file: &File) -> Result<(), Problem> {
+    if !file.template_refresh_s.is_finite() || file.template_refresh_s <= 0.0 {
+        return Err(Problem::new(None, "template_refresh_s", "is no span of time", "above 0"));
+    }
+    Ok(())
+}
+
 /// Starts the exporter.
 pub fn start(file: &File, site: &Site) -> Result<Box<dyn FlowSink>, String> {
     let any = if file.collector.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
     let socket = UdpSocket::bind(any).map_err(|e| format!("cannot export flows: {e}"))?;
-    if !file.template_refresh_s.is_finite() || file.template_refresh_s <= 0.0 {
-        return Err("template_refresh_s must be above 0".into());
-    }
     let (records, queue) = channel();
     let counts = Arc::new(Counts::default());
     let exporter = Exporter {
--- a/dispatcher/src/wire/socket.rs
+++ b/dispatcher/src/wire/socket.rs
@@ -66,6 +66,11 @@
         }
         Ok(())
     }
+    /// Acknowledges what has come at once, not with the next answer: a peer that holds its next bytes back until then
+    /// (RFC 896) would wait for as long as the system puts it off.
+    pub fn acknowledge(&self) {
+        let _ = socket2::SockRef::from(self.0.inner()).set_tcp_quickack(true);
+    }
     /// Whether an idle connection is still open, with nothing come in.
     pub fn is_quiet(&self) -> bool {
         matches!(self.0.inner().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -171,14 +171,14 @@
                 &p.raw[p.target.clone()],
                 host.as_bytes(),
                 b"X-Call-Id: ",
-                &p.raw[p.id.clone()],
+                p.id().as_bytes(),
                 framing.as_bytes(),
                 &p.raw[p.body.clone()],
             ];
             socket.write(&parts, request.deadline)
         }
         Ask::Withdraw(p) => {
-            let id = &p.raw[p.id.clone()];
+            let id = p.id().as_bytes();
             let parts = [b"DELETE /jobs/".as_slice(), id, host.as_bytes(), b"Content-Length: 0\r\n\r\n"];
             socket.write(&parts, request.deadline)
         }
@@ -234,7 +234,13 @@
         };
         let by = clock::now() + 20_000_000;
         let request = |id| {
-            let ask = Ask::Run(Arc::new(Payload::compose([b"c", b"POST", b"/", b""])));
+            let ask = Ask::Run(Arc::new(Payload {
+                raw: Arc::new(b"cPOST/".to_vec()),
+                id: 0..1,
+                method: 1..5,
+                target: 5..6,
+                ..Payload::default()
+            }));
             UpstreamRequest { id, ask, connect_by: by, deadline: by }
         };
         let heard = || match outlet.recv_timeout(Duration::from_secs(20)) {
