--- a/crates/backlog/src/function.rs
+++ b/crates/backlog/src/function.rs
@@ -59,6 +59,10 @@
     pub fn jobs(&self) -> usize {
         self.queued.iter().sum::<usize>() + self.set + self.out
     }
+    /// Whether a job waits for a worker, here or with the decisions.
+    pub fn wants_workers(&self) -> bool {
+        self.out > self.running || self.queued.iter().any(|n| *n > 0)
+    }
 }
 
 pub(crate) struct Queues {
--- /dev/null
+++ b/crates/gearman-load/src/server.rs
@@ -0,0 +1,93 @@
+//! The programs under measurement, as processes on free loopback ports.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+/// What is measured, and how it is configured.
+pub struct Program {
+    /// The program.
+    pub roselock: PathBuf,
+    /// Its configuration; addresses are replaced.
+    pub config: PathBuf,
+}
+
+/// A process that serves Gearman.
+pub struct Server {
+    child: Child,
+    /// Where.
+    pub at: SocketAddr,
+    _files: Option<tempfile::TempDir>,
+    _discovery: Option<TcpListener>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn address_after(child: &mut Child, words: &str) -> SocketAddr {
+    let log = child.stderr.take().expect("piped");
+    let mut lines = BufReader::new(log).lines();
+    let at =
+        lines.by_ref().map_while(Result::ok).find_map(|l| Some(l.split_once(words)?.1.trim().to_owned()));
+    // Its further log must not fill the pipe.
+    std::thread::spawn(move || lines.for_each(drop));
+    at.and_then(|at| at.parse().ok()).expect("the program says where it serves")
+}
+
+impl Program {
+    /// Starts the dispatcher with a `[gearman]` section beyond its address.
+    pub fn start(&self, gearman: &str) -> Server {
+        let files = tempfile::tempdir().expect("a folder");
+        let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let config = std::fs::read_to_string(&self.config).expect("the configuration");
+        let config = config
+            .replace("127.0.0.1:7070", "127.0.0.1:0")
+            .replace("127.0.0.1:8500", &discovery.local_addr().expect("bound").to_string());
+        let (json, toml) = (files.path().join("config.json"), files.path().join("operator.toml"));
+        std::fs::write(&json, config).expect("written");
+        std::fs::write(&toml, format!("[gearman]\nlisten = \"127.0.0.1:0\"\n{gearman}")).expect("written");
+        let mut child = Command::new(&self.roselock)
+            .arg("serve")
+            .arg("--config")
+            .arg(json)
+            .arg("--operator")
+            .arg(toml)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let at = address_after(&mut child, "Gearman on ");
+        Server { child, at, _files: Some(files), _discovery: Some(discovery) }
+    }
+}
+
+/// Starts the bare relay.
+pub fn relay() -> Server {
+    let program = std::env::current_exe().expect("this program");
+    let mut child =
+        Command::new(program).arg("relay").stderr(Stdio::piped()).spawn().expect("the relay starts");
+    let at = address_after(&mut child, "relaying on ");
+    Server { child, at, _files: None, _discovery: None }
+}
+
+impl Server {
+    /// Bytes of memory that it holds.
+    pub fn resident(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+        line.and_then(|l| l.trim().trim_end_matches(" kB").trim().parse::<usize>().ok()).unwrap_or(0) << 10
+    }
+}
+
+/// The machine's size.
+pub fn machine() -> String {
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let memory = std::fs::read_to_string("/proc/meminfo").unwrap_or_default();
+    let kib = memory.lines().find_map(|l| l.strip_prefix("MemTotal:")).unwrap_or("0 kB").trim().to_owned();
+    let kib: usize = kib.trim_end_matches(" kB").trim().parse().unwrap_or(0);
+    format!("Machine: {cores} cores, {} GiB of memory; clients, workers and server share them.", kib >> 20)
+}
--- a/dispatcher/src/wire/gearman/worker.rs
+++ b/dispatcher/src/wire/gearman/worker.rs
@@ -7,11 +7,14 @@
 use roselock::settings::fnv;
 use roselock::{CellId, FleetEntry, Gauge, KindId, ListMode, Listed, Micros, Outcome, WorkerId};
 use roselock_gearman::packet::number;
-use roselock_gearman::server::{Chosen, Word};
+use roselock_gearman::server::{Chosen, Due, Word};
 use roselock_gearman::{Kind, Packet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+/// How long a worker that asks waits for the decisions, while there are jobs that wait for one.
+const ASK: Micros = 20_000;
+
 /// A job in a worker's hands.
 #[derive(Debug)]
 pub struct Held {
@@ -230,13 +233,19 @@
     }
 
     /// An attempt for it; what it returns wakes it.
-    pub fn engage(&self, front: &Gearman, request: UpstreamRequest, function: usize) -> Option<Vec<u8>> {
+    pub fn engage(
+        self: &Arc<Self>,
+        front: &Gearman,
+        request: UpstreamRequest,
+        function: usize,
+    ) -> Option<Vec<u8>> {
         let Ask::Run(payload) = request.ask else { return None };
         let held = Held { id: request.id, function, payload, grabbed: 0 };
         let by = clock::now() + front.figures.grab;
         match self.change(front, |w| w.choose(function, held, by)) {
             Chosen::Wake => return Some(reply(Kind::Noop, &[])),
             Chosen::Kept => {}
+            Chosen::Asked(kind) => return self.grab(front, kind),
             Chosen::Unwilling(held) => never_ran(front, held.id, false),
             Chosen::Gone(held) => never_ran(front, held.id, true),
         }
@@ -259,10 +268,19 @@
     pub fn grab(self: &Arc<Self>, front: &Gearman, kind: Kind) -> Option<Vec<u8>> {
         self.heard(front);
         let now = clock::now();
+        let may_wait = {
+            let able = self.able();
+            let jobs = lock(&front.jobs);
+            able.iter().any(|f| jobs.backlog.counts(*f).wants_workers())
+        };
         let taken = self.change(front, |w| {
             w.grab(now, |held| handle(held.id)).map(|held| (held.id, held.payload.clone()))
         });
-        let Some((id, p)) = taken else { return Some(reply(Kind::NoJob, &[])) };
+        let Some((id, p)) = taken else {
+            // The decisions may be about to choose it for one that waits.
+            let waits = may_wait && self.change(front, |w| w.ask(kind, now + ASK));
+            return (!waits).then(|| reply(Kind::NoJob, &[]));
+        };
         lock(&self.worker).running_mut(&handle(id)).into_iter().for_each(|held| held.grabbed = now);
         front.inbox.post(Input::Upstream(id, Heard::Started, LinkIs::Busy));
         let registry = front.functions.load();
@@ -352,12 +370,13 @@
     pub fn expire(self: &Arc<Self>, front: &Gearman, now: Micros) {
         match self.change(front, |w| w.expire(now)) {
             None => {}
-            Some(Ok(held)) => {
+            Some(Due::NoJob) => self.send(reply(Kind::NoJob, &[])),
+            Some(Due::Unheard(held)) => {
                 tracing::warn!(worker = self.uid(), "gearman: a worker was woken and did not come");
                 self.able().into_iter().for_each(|f| self.list(front, f, Listed::Draining));
                 never_ran(front, held.id, false);
             }
-            Some(Err(held)) => {
+            Some(Due::Late(held)) => {
                 tracing::warn!(worker = self.uid(), "gearman: a worker is past its own time limit");
                 late(front, held.id);
             }
--- /dev/null
+++ b/dispatcher/tests/conformance.rs
@@ -0,0 +1,58 @@
+//! The conformance suite against the front, and against fronts that are broken on purpose.
+
+mod common;
+use common::*;
+use roselock_gearman_conformance::defect::{DEFECTS, Defect, relay};
+use roselock_gearman_conformance::{Case, all, run};
+use rstest::rstest;
+
+const FUNCTIONS: &str = r#"cold_s = 0.0
+max_functions = 1024
+admins = ["127.0.0.1"]
+[default]
+class = "look"
+class_high = "pay"
+deadline_s = 15.0
+target = "gearman"
+"#;
+
+fn served() -> (Discovery, Dispatcher) {
+    let discovery = Discovery::start();
+    let dispatcher =
+        Dispatcher::start(discovery.at, &settings(0.0, 0.2), &list(1, true, &[]), Some(FUNCTIONS));
+    (discovery, dispatcher)
+}
+
+fn differing(at: std::net::SocketAddr, cases: &[Case], run_id: &str) -> Vec<String> {
+    let results = run(at, cases, run_id).into_iter();
+    results.filter_map(|(case, r)| Some(format!("{}: {}", case.name, r.err()?))).collect()
+}
+
+/// The front is a Gearman server in every case of the suite, and the relay that breaks others breaks nothing itself.
+#[rstest]
+fn the_front_conforms() {
+    let (_discovery, dispatcher) = served();
+    let cases = all();
+    assert!(cases.len() >= 100, "{} cases", cases.len());
+    let at = dispatcher.gearman.expect("the front is on");
+    let differs = differing(at, &cases, "direct");
+    assert!(differs.is_empty(), "{} of {}:\n{}", differs.len(), cases.len(), differs.join("\n"));
+    let through = relay(at, Defect::None);
+    let quick: Vec<Case> = cases.into_iter().filter(|c| c.name.starts_with("client-")).collect();
+    assert_eq!(differing(through, &quick, "relayed"), Vec::<String>::new());
+}
+
+/// A suite that cannot fail shows nothing: each fault is found by some case.
+#[rstest]
+fn a_broken_server_is_found_out() {
+    let (_discovery, dispatcher) = served();
+    let at = dispatcher.gearman.expect("the front is on");
+    // A few cases are enough, and those that wait in vain do so for long.
+    let few = ["client-complete", "client-status-relayed", "client-exception-asked", "status-queued"];
+    let mut cases: Vec<Case> = all().into_iter().filter(|c| few.contains(&c.name.as_str())).collect();
+    cases.iter_mut().for_each(|c| c.within_ms = 1500);
+    for defect in DEFECTS {
+        let found = differing(relay(at, defect), &cases, &format!("{defect:?}"));
+        assert!(!found.is_empty(), "{defect:?} was not found");
+    }
+}
