--- a/crates/backlog/src/job.rs
+++ b/crates/backlog/src/job.rs
@@ -50,6 +50,8 @@
     pub done: (u64, u64),
     /// What a worker said of its failure.
     pub exception: Option<Vec<u8>>,
+    /// A worker said that it failed.
+    pub failed: bool,
     pub(crate) turns: u32,
     pub(crate) entry: u32,
     pub(crate) bytes: usize,
@@ -73,6 +75,8 @@
     pub exception: Option<Vec<u8>>,
     /// Attempts that may have run.
     pub ran: u32,
+    /// A worker said that it failed.
+    pub failed: bool,
 }
 
 /// A place in a line. A job that left the line, or moved to another, leaves its place behind.
--- a/crates/backlog/src/lib.rs
+++ b/crates/backlog/src/lib.rs
@@ -279,6 +279,7 @@
             running: false,
             done: (0, 0),
             exception: None,
+            failed: false,
             payload: new.payload,
         };
         self.bytes += job.bytes;
@@ -435,6 +436,7 @@
         self.limits.remove(&(job.limit, no));
         job.state = State::Out(stream);
         job.turns += 1;
+        job.failed = false;
         let deadline = now + queues.set.run[job.background as usize];
         Released {
             no,
@@ -516,6 +518,13 @@
         }
     }
 
+    /// A worker said that a job failed.
+    pub fn set_failed(&mut self, no: JobNo) {
+        if let Some(job) = self.jobs.get_mut(&no) {
+            job.failed = true;
+        }
+    }
+
     /// A run took so long: how many jobs are released ahead goes by the mean of these.
     pub fn took(&mut self, function: usize, span: Micros) {
         self.functions[function].took(span);
@@ -545,6 +554,7 @@
             waiters: job.waiters,
             exception: job.exception,
             ran: job.ran,
+            failed: job.failed,
         })
     }
 
--- a/crates/gearman-load/src/main.rs
+++ b/crates/gearman-load/src/main.rs
@@ -37,8 +37,8 @@
     /// seconds for each cell of the rates (default: 2)
     #[argh(option, default = "2.0")]
     seconds: f64,
-    /// only these, by commas: rate, burst, depth, flood, step
-    #[argh(option, default = "String::from(\"rate,burst,depth,flood,step\")")]
+    /// only these, by commas: rate, burst, depth, flood, nagle, step
+    #[argh(option, default = "String::from(\"rate,burst,depth,flood,nagle,step\")")]
     only: String,
 }
 
@@ -60,10 +60,11 @@
                     "rate" => rate::rate(&with, run.seconds),
                     "burst" => rate::burst(&with),
                     "flood" => rate::flood(&with),
+                    "nagle" => rate::nagle(&with),
                     "depth" => depth::depth(&with),
                     "step" => step::step(),
                     other => {
-                        eprintln!("--only {other:?}: one of rate, burst, depth, flood, step");
+                        eprintln!("--only {other:?}: one of rate, burst, depth, flood, nagle, step");
                         std::process::exit(2);
                     }
                 }
--- a/crates/gearman-load/src/peers.rs
+++ b/crates/gearman-load/src/peers.rs
@@ -28,7 +28,9 @@
         let ready = ready.clone();
         may::go!(move || work(&mut connect(at), functions, span, &ready));
     }
+    let start = Instant::now();
     while ready.load(Ordering::SeqCst) < n as u64 {
+        assert!(start.elapsed() < Duration::from_secs(20), "not all workers were taken");
         std::thread::sleep(Duration::from_millis(1));
     }
 }
@@ -93,7 +95,7 @@
     pub fn within(&self, span: Duration) -> f64 {
         let spans = self.spans.lock().expect("not poisoned");
         let all = spans.len() + self.failed.load(Ordering::SeqCst);
-        let within = spans.count_between(0, span.as_micros() as u64);
+        let within = spans.count_between(1, span.as_micros() as u64);
         if all == 0 { 0.0 } else { within as f64 / all as f64 }
     }
 }
@@ -142,10 +144,8 @@
                         seen.spans.lock().expect("not poisoned").saturating_record(span.max(1));
                     }
                 }
-                Event::Fail(ticket) | Event::TurnedAway(ticket, ..) => {
-                    if since.remove(&ticket).is_some() {
-                        seen.failed.fetch_add(1, Ordering::SeqCst);
-                    }
+                Event::Fail(ticket) | Event::TurnedAway(ticket, ..) if since.remove(&ticket).is_some() => {
+                    seen.failed.fetch_add(1, Ordering::SeqCst);
                 }
                 _ => {}
             }
@@ -161,8 +161,8 @@
         let seen = seen.clone();
         may::go!(move || {
             let due = start + every * i as u32;
-            let mut stream = connect(at);
             may::coroutine::sleep(due.saturating_duration_since(Instant::now()));
+            let mut stream = connect(at);
             once(&mut stream, function, due, &seen);
             seen.ended.fetch_add(1, Ordering::SeqCst);
         });
@@ -180,7 +180,10 @@
     loop {
         match stream.read(&mut buffer) {
             Ok(n) if n > 0 && client.input(&buffer[..n]).is_ok() => {}
-            _ => _ = seen.failed.fetch_add(1, Ordering::SeqCst),
+            _ => {
+                seen.failed.fetch_add(1, Ordering::SeqCst);
+                return;
+            }
         }
         while let Some(event) = client.poll() {
             match event {
@@ -246,3 +249,39 @@
     }
     (jobs, asked.elapsed())
 }
+
+/// Starts a worker that writes each packet by itself and leaves Nagle's algorithm on; returns once it has registered.
+pub fn apart(at: SocketAddr, function: &'static str) {
+    let mut stream = std::net::TcpStream::connect(at).expect("a connection");
+    let _ = stream.set_read_timeout(Some(PATIENCE));
+    let mut worker = Worker::new(Kind::GrabJob);
+    worker.can_do(function.as_bytes());
+    worker.start();
+    let (told, ready) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let mut buffer = vec![0; 8192];
+        loop {
+            // Twelve bytes of head tell how much follows.
+            let out = worker.take_output();
+            let mut rest = &out[..];
+            while rest.len() >= 12 {
+                let size = 12 + u32::from_be_bytes([rest[8], rest[9], rest[10], rest[11]]) as usize;
+                if stream.write_all(&rest[..size]).is_err() {
+                    return;
+                }
+                rest = &rest[size..];
+            }
+            match stream.read(&mut buffer) {
+                Ok(n) if n > 0 && worker.input(&buffer[..n]).is_ok() => {}
+                _ => return,
+            }
+            let _ = told.send(());
+            while let Some(event) = worker.poll() {
+                if let Work::Assigned(job) = event {
+                    worker.complete(&job.handle, b"ok");
+                }
+            }
+        }
+    });
+    let _ = ready.recv_timeout(PATIENCE);
+}
--- a/crates/gearman-load/src/rate.rs
+++ b/crates/gearman-load/src/rate.rs
@@ -136,3 +136,23 @@
     }
     println!();
 }
+
+/// One job after another at a worker whose library leaves Nagle's algorithm on and writes its packets apart.
+pub fn nagle(program: &Program) {
+    println!("## A worker that holds its packets back\n");
+    println!(
+        "One job of 0 ms after another; the worker writes WORK_COMPLETE and GRAB_JOB apart, with Nagle's algorithm on.\n"
+    );
+    println!("| quick_ack | p50, ms | p99, ms |");
+    println!("| --- | ---: | ---: |");
+    for quick in [false, true] {
+        let server = program.start(&format!("quick_ack = {quick}\n{WARM}"));
+        peers::apart(server.at, "f");
+        let stop = Arc::new(AtomicBool::new(false));
+        let seen = peers::clients(server.at, 1, 1, "f", &stop);
+        pass(3.0);
+        stop.store(true, Ordering::SeqCst);
+        println!("| {} | {:.2} | {:.2} |", if quick { "yes" } else { "no" }, seen.ms(0.5), seen.ms(0.99));
+    }
+    println!();
+}
--- a/crates/gearman-load/src/server.rs
+++ b/crates/gearman-load/src/server.rs
@@ -45,7 +45,9 @@
         let files = tempfile::tempdir().expect("a folder");
         let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
         let config = std::fs::read_to_string(&self.config).expect("the configuration");
+        // Hundreds of workers need more descriptors than the example grants.
         let config = config
+            .replace("\"sockets\": 1024", "\"sockets\": 8192")
             .replace("127.0.0.1:7070", "127.0.0.1:0")
             .replace("127.0.0.1:8500", &discovery.local_addr().expect("bound").to_string());
         let (json, toml) = (files.path().join("config.json"), files.path().join("operator.toml"));
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -131,7 +131,8 @@
         }
         log::set_level(new.log.level);
         match (&self.gearman, &new.gearman) {
-            (Some(front), Some(file)) => match front.reload(file.clone()) {
+            (Some(_), Some(_)) if !new.site.names_as(&old.site) => {}
+            (Some(front), Some(file)) => match front.reload(file.clone(), Arc::new(new.site.clone())) {
                 Ok(later) => later.iter().for_each(|what| {
                     tracing::warn!("{name}: gearman: {what} take effect at the next start");
                 }),
--- a/dispatcher/src/wire/gearman/admin.rs
+++ b/dispatcher/src/wire/gearman/admin.rs
@@ -31,6 +31,7 @@
         ["workers"] => workers(front),
         ["show", "jobs"] => show_jobs(front),
         ["show", "unique", "jobs"] => show_unique(front),
+        ["show", "ends"] => ends(front),
         ["cancel", "job", handle] => cancel(front, handle),
         ["maxqueue", name, sizes @ ..] => max_queue(front, name, sizes),
         ["create", "function", name] => create(front, name),
@@ -122,6 +123,21 @@
     lines + ".\n"
 }
 
+/// Jobs that have ended since the start, by how; `lost` are background jobs without a worker's word.
+fn ends(front: &Gearman) -> String {
+    let e = lock(&front.jobs).ends;
+    let all = [
+        ("served", e.served),
+        ("failed", e.failed),
+        ("refused", e.refused),
+        ("expired", e.expired),
+        ("cancelled", e.cancelled),
+        ("left", e.left),
+        ("lost", e.lost),
+    ];
+    all.iter().map(|(how, n)| format!("{how}\t{n}\n")).collect::<String>() + ".\n"
+}
+
 fn cancel(front: &Gearman, handle: &str) -> String {
     let Some(no) = front.job_no(handle.as_bytes()) else { return err("NOT_FOUND", "no such job") };
     let cancelled = {
--- a/dispatcher/src/wire/gearman/connection.rs
+++ b/dispatcher/src/wire/gearman/connection.rs
@@ -77,7 +77,7 @@
             (_, true) => whole_by,
             (_, false) => by(IDLE),
         };
-        if peer.is_worker.load(Ordering::Relaxed) && !inside {
+        if front.figures.quick_ack && peer.is_worker.load(Ordering::Relaxed) && !inside {
             // Its library may hold its next packet back until this one is acknowledged.
             socket.acknowledge();
         }
@@ -134,7 +134,7 @@
             jobs::submit(front, peer, kind, data, *exceptions)
         }
         Frame::Packet(kind, data) => match Packet::parse(kind, &data) {
-            Ok(packet) => heed(front, peer, packet, &data, exceptions),
+            Ok(packet) => heed(front, peer, packet, exceptions),
             Err(malformed) => Some(error("INVALID_ARGUMENTS", &malformed.to_string())),
         },
         Frame::Unknown(code) => {
@@ -166,13 +166,7 @@
 }
 
 /// Heeds one packet that submits nothing; what it returns goes back to the sender.
-fn heed(
-    front: &Arc<Gearman>,
-    peer: &Arc<Peer>,
-    packet: Packet,
-    data: &[u8],
-    exceptions: &mut bool,
-) -> Option<Vec<u8>> {
+fn heed(front: &Arc<Gearman>, peer: &Arc<Peer>, packet: Packet, exceptions: &mut bool) -> Option<Vec<u8>> {
     use Packet as P;
     match packet {
         P::GetStatus { handle } => Some(jobs::status(front, handle)),
@@ -202,8 +196,8 @@
         P::PreSleep {} => peer.pre_sleep(front),
         P::GrabJob {} | P::GrabJobUniq {} | P::GrabJobAll {} => peer.grab(front, packet.kind()),
         P::WorkStatus { .. } | P::WorkData { .. } | P::WorkWarning { .. } => peer.tell(front, &packet),
-        P::WorkComplete { handle, data: result } => peer.finish(front, handle, Some(result), data.len()),
-        P::WorkFail { handle } => peer.finish(front, handle, None, data.len()),
+        P::WorkComplete { handle, data: result } => peer.finish(front, handle, Some(result)),
+        P::WorkFail { handle } => peer.finish(front, handle, None),
         P::WorkException { handle, data } => peer.exception(front, handle, data),
         _ => Some(error("UNEXPECTED_PACKET", "only a server sends this")),
     }
--- a/dispatcher/src/wire/gearman/file.rs
+++ b/dispatcher/src/wire/gearman/file.rs
@@ -45,6 +45,9 @@
     /// How long a worker that was woken may take to ask for its job, in seconds.
     #[serde(default)]
     pub grab_s: Option<Spanned<f64>>,
+    /// Whether a worker's bytes are acknowledged at once.
+    #[serde(default = "yes")]
+    pub quick_ack: bool,
     /// Where SUBMIT_JOB_SCHED's fields are read.
     #[serde(default)]
     pub timezone: Option<Spanned<String>>,
@@ -203,6 +206,8 @@
     pub grab: Micros,
     /// Where fields of set times are read.
     pub zone: jiff::tz::TimeZone,
+    /// Whether a worker's bytes are acknowledged at once.
+    pub quick_ack: bool,
     /// Who may change things.
     pub admins: Vec<IpAddr>,
     /// Most functions.
@@ -263,6 +268,7 @@
         outbox: kib("outbox_kb", &file.outbox_kb, 4096, 1 << 20)?,
         grab: micros(within("grab_s", &file.grab_s, 1.0, (0.01, 3600.0))?),
         zone,
+        quick_ack: file.quick_ack,
         admins: file.admins.clone(),
         functions: file.max_functions,
     })
--- a/dispatcher/src/wire/gearman/jobs.rs
+++ b/dispatcher/src/wire/gearman/jobs.rs
@@ -86,7 +86,8 @@
         Ok(at) => at,
         Err(text) => return Some(error("INVALID_ARGUMENTS", text)),
     };
-    if front.inbox.stopping().is_some() && (job.background || not_before.is_some()) {
+    let parted = front.parted.load(std::sync::atomic::Ordering::SeqCst);
+    if parted || (front.inbox.stopping().is_some() && (job.background || not_before.is_some())) {
         // It would be lost with the process.
         return Some(error("SHUTTING_DOWN", "this server is about to end; submit elsewhere, or again later"));
     }
@@ -289,7 +290,7 @@
             Ending::Failed | Ending::TimedOut => &mut ends.failed,
         } += 1;
         let quiet = ended.background && ended.waiters.is_empty();
-        let by_worker = ending == Ending::Served || (ending == Ending::Failed && ended.ran > 0);
+        let by_worker = ending == Ending::Served || (ending == Ending::Failed && ended.failed);
         if quiet && !by_worker {
             jobs.ends.lost += 1;
         }
@@ -372,16 +373,21 @@
         );
     }
 
-    /// The process is about to end: who still waits is told, and what is lost is named.
+    /// The process is about to end: who still waits is told, and what is lost is named. Whatever is turned away from
+    /// now on would wait in vain, so this is done over and over until the end.
     pub(super) fn part(&self) {
-        if self.parted.swap(true, std::sync::atomic::Ordering::SeqCst) {
-            return;
-        }
-        let waiting = lock(&self.jobs).backlog.drain();
+        self.parted.store(true, std::sync::atomic::Ordering::SeqCst);
+        let waiting = {
+            let mut jobs = lock(&self.jobs);
+            let waiting = jobs.backlog.drain();
+            jobs.ends.refused += waiting.len() as u64;
+            jobs.ends.lost += waiting.iter().filter(|e| e.background).count() as u64;
+            waiting
+        };
         for ended in &waiting {
             self.last_words(ended, b"refused; this server is about to end; trying again is harmless");
             if ended.background {
-                self.log_lost(ended, "the process ends, and it was not started");
+                self.log_lost(ended, "the process ends, and no worker has it");
             }
         }
         if !waiting.is_empty() {
--- a/dispatcher/src/wire/gearman/mod.rs
+++ b/dispatcher/src/wire/gearman/mod.rs
@@ -64,7 +64,7 @@
     /// The way to the decisions.
     pub inbox: Inbox,
     figures: file::Figures,
-    site: Arc<Site>,
+    site: ArcSwap<Site>,
     seed: u64,
     functions: ArcSwap<Registry>,
     /// The entry for functions that are not named, and what makes their fleets.
@@ -120,7 +120,7 @@
         Gearman {
             inbox,
             figures,
-            site,
+            site: ArcSwap::new(site),
             seed,
             functions: ArcSwap::default(),
             file: ArcSwap::from_pointee(file),
--- a/dispatcher/src/wire/gearman/reload.rs
+++ b/dispatcher/src/wire/gearman/reload.rs
@@ -4,7 +4,7 @@
 use super::{Gearman, Tally, lock};
 use crate::lifecycle::problem::Problem;
 use crate::memory::Input;
-use roselock::settings::fnv;
+use roselock::settings::{Site, fnv};
 use std::sync::Arc;
 
 impl Gearman {
@@ -15,7 +15,7 @@
         }
         let file = self.file.load();
         let entry = file.default.as_ref().filter(|_| file::is_name(name))?;
-        let function = file::function(entry, std::str::from_utf8(name).ok()?, &self.site).ok()?;
+        let function = file::function(entry, std::str::from_utf8(name).ok()?, &self.site.load()).ok()?;
         self.make(function).ok()
     }
 
@@ -43,7 +43,7 @@
         if function.by_workers() {
             function.fleet = *next_fleet;
             *next_fleet += 1;
-            let set = file::settings(&self.site, &self.file.load());
+            let set = file::settings(&self.site.load(), &self.file.load());
             let seed = self.seed ^ fnv(function.name.as_bytes());
             self.inbox.post(Input::Fleet(function.fleet, Box::new(set), seed));
         }
@@ -61,13 +61,14 @@
         lock(&self.jobs).backlog.close(f);
     }
 
-    /// A file that was read again: new functions are taken, changed ones follow it, others are closed. Returns what
+    /// A file that was read again: new functions are taken, changed ones and new settings of the site, whose
+    /// names are as before, are followed, other functions are closed. Returns what
     /// only a new start can change.
     ///
     /// # Errors
     /// What is wrong with it; then nothing has changed.
-    pub fn reload(&self, new: File) -> Result<Vec<String>, Problem> {
-        let functions = file::functions(&new, &self.site)?;
+    pub fn reload(&self, new: File, site: Arc<Site>) -> Result<Vec<String>, Problem> {
+        let functions = file::functions(&new, &site)?;
         let figures = file::figures(&new, self.figures.bounds.bytes)?;
         let mut later = Vec::new();
         let old = self.file.load_full();
@@ -84,6 +85,7 @@
         let named: Vec<String> = functions.iter().map(|f| f.name.clone()).collect();
         let open = new.default.is_some();
         self.file.store(Arc::new(new));
+        self.site.store(site);
         for function in functions {
             let name = function.name.clone();
             if let Err(why) = self.make(function) {
@@ -91,6 +93,10 @@
             }
         }
         let registry = self.functions();
+        for function in registry.all.iter().filter(|f| f.by_workers()) {
+            let set = file::settings(&self.site.load(), &self.file.load());
+            self.inbox.post(Input::Settings(function.fleet, Box::new(set)));
+        }
         for (f, function) in registry.all.iter().enumerate() {
             if !open && !named.contains(&function.name) {
                 self.close(f);
--- a/dispatcher/src/wire/gearman/worker.rs
+++ b/dispatcher/src/wire/gearman/worker.rs
@@ -163,7 +163,7 @@
         let entry = FleetEntry {
             worker: self.worker_id(),
             state,
-            zone: front.site.settings.zone,
+            zone: front.site.load().settings.zone,
             cell: CellId(0),
             kind: KindId(0),
             units: 1.0,
@@ -333,13 +333,7 @@
     }
 
     /// It tells how its job ended, with a result or a failure. Of an attempt that it does not run, nothing is heeded.
-    pub fn finish(
-        &self,
-        front: &Gearman,
-        name: &[u8],
-        result: Option<&[u8]>,
-        _size: usize,
-    ) -> Option<Vec<u8>> {
+    pub fn finish(&self, front: &Gearman, name: &[u8], result: Option<&[u8]>) -> Option<Vec<u8>> {
         let word = self.change(front, |w| w.finish(name));
         let held = match word {
             Word::Of(held) => held,
@@ -348,7 +342,11 @@
                 return Some(error("JOB_NOT_FOUND", "this connection has no job under this handle"));
             }
         };
-        lock(&front.jobs).backlog.took(held.function, clock::now() - held.grabbed);
+        {
+            let mut jobs = lock(&front.jobs);
+            jobs.backlog.took(held.function, clock::now() - held.grabbed);
+            held.job_no().filter(|_| result.is_none()).into_iter().for_each(|no| jobs.backlog.set_failed(no));
+        }
         let heard = match result {
             Some(data) => Heard::Ended(Outcome::Ok, report(), data.to_vec()),
             None => Heard::Ended(Outcome::Error, report(), Vec::new()),
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -97,9 +97,11 @@
 pub struct Dispatcher {
     pub child: Child,
     pub config: std::path::PathBuf,
+    /// The file of the Gearman front, if it is on.
+    pub gearman_file: Option<std::path::PathBuf>,
     pub http: SocketAddr,
     pub gearman: Option<SocketAddr>,
-    log: BufReader<std::process::ChildStderr>,
+    log: std::sync::Mutex<Receiver<String>>,
 }
 
 impl Dispatcher {
@@ -140,18 +142,22 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_roselock"));
         let config = file("config.json", &config);
         command.arg("serve").arg("--config").arg(&config).stderr(Stdio::piped());
-        if let Some(functions) = gearman {
-            let text = format!("listen = \"127.0.0.1:0\"\n{functions}");
-            command.arg("--gearman").arg(file("gearman.toml", &text));
-        }
+        let gearman_file = gearman.map(|functions| {
+            let path = file("gearman.toml", &format!("listen = \"127.0.0.1:0\"\n{functions}"));
+            command.arg("--gearman").arg(&path);
+            path
+        });
         if let Some(collector) = collector {
             let text = format!("collector = \"{collector}\"\nobservation_domain = 7\n");
             command.arg("--ipfix").arg(file("ipfix.toml", &text));
         }
         let mut child = command.spawn().expect("the dispatcher starts");
-        let log = BufReader::new(child.stderr.take().expect("piped"));
+        let (lines, log) = channel();
+        let stderr = BufReader::new(child.stderr.take().expect("piped"));
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
         let nowhere = bind().local_addr().expect("an address");
-        let mut started = Dispatcher { child, config, http: nowhere, gearman: None, log };
+        let mut started =
+            Dispatcher { child, config, gearman_file, http: nowhere, gearman: None, log: log.into() };
         if gearman.is_some() {
             started.gearman = Some(started.logged("Gearman on "));
         }
@@ -166,8 +172,8 @@
     /// Reads its log up to these words; what follows them.
     pub fn logs(&mut self, what: &str) -> String {
         loop {
-            let mut line = String::new();
-            assert!(self.log.read_line(&mut line).expect("its log") > 0, "it has ended");
+            let line = self.log.get_mut().expect("not poisoned").recv_timeout(PATIENCE);
+            let line = line.unwrap_or_else(|e| panic!("{what:?} was not logged: {e}"));
             if let Some((_, rest)) = line.split_once(what) {
                 return rest.trim().to_owned();
             }
@@ -191,6 +197,13 @@
         self.signal("-HUP");
     }
 
+    /// Writes the file of the Gearman front anew and sends SIGHUP.
+    pub fn reload_gearman(&self, functions: &str) {
+        let path = self.gearman_file.as_ref().expect("the front is on");
+        std::fs::write(path, format!("listen = \"127.0.0.1:0\"\n{functions}")).expect("it is written");
+        self.signal("-HUP");
+    }
+
     /// A client's request on a connection of its own, sent and not yet answered.
     pub fn ask(&self, id: &str, class: &str, budget: f64) -> Peer {
         let mut peer = Peer::new(connect(self.http));
@@ -360,6 +373,12 @@
         let reader = BufReader::new(self.0.try_clone().expect("a clone"));
         reader.lines().take(lines).map(|l| l.expect("a line")).collect()
     }
+    /// An administrator's line, and the lines of its answer up to a single dot.
+    pub fn lines(&mut self, line: &str) -> Vec<String> {
+        self.0.write_all(format!("{line}\n").as_bytes()).expect("it is written");
+        let reader = BufReader::new(self.0.try_clone().expect("a clone"));
+        reader.lines().map(|l| l.expect("a line")).take_while(|l| l != ".").collect()
+    }
     /// As a worker: registers, and sleeps until there is a job.
     pub fn register(&mut self, functions: &[&str]) {
         functions.iter().for_each(|f| self.send(CAN_DO, &[f]));
@@ -412,3 +431,4 @@
 pub const OPTION_REQ: u32 = 26;
 pub const OPTION_RES: u32 = 27;
 pub const WORK_DATA: u32 = 28;
+pub const SUBMIT_JOB_EPOCH: u32 = 36;
