--- a/crates/backlog/src/job.rs
+++ b/crates/backlog/src/job.rs
@@ -40,7 +40,7 @@
     pub state: State,
     /// When it came.
     pub came: Micros,
-    /// When it has waited too long.
+    /// When it has waited too long; before its set time that time, by the wall clock.
     pub limit: Micros,
     /// Attempts that may have run.
     pub ran: u32,
--- a/crates/backlog/src/lib.rs
+++ b/crates/backlog/src/lib.rs
@@ -293,7 +293,8 @@
         }
         match new.not_before {
             Some(at) => {
-                // Its patience counts from its time on: see `tick`.
+                // Its patience counts from its time on: see `tick`. Until then its limit is that time.
+                job.limit = at;
                 self.functions[job.function].set_waiting[job.priority] += 1;
                 self.set.insert((at, no));
                 self.jobs.insert(no, job);
@@ -328,8 +329,9 @@
             job.waiters.push(waiter);
         }
         let queues = &mut self.functions[job.function];
-        if background && !job.background {
-            job.background = true;
+        let was = job.background;
+        job.background |= background;
+        if background && !was && job.state != State::Set {
             let limit = job.came + queues.set.background;
             if self.limits.remove(&(job.limit, no)) {
                 self.limits.insert((limit.max(job.limit), no));
@@ -566,9 +568,7 @@
             State::Queued => queues.queued[job.priority] -= 1,
             State::Set => {
                 queues.set_waiting[job.priority] -= 1;
-                // Found by its number: few are cancelled before their time.
-                let found = self.set.iter().find(|s| s.1 == no).copied();
-                found.iter().for_each(|s| _ = self.set.remove(s));
+                self.set.remove(&(job.limit, no));
             }
             State::Out(_) => {
                 queues.out -= 1;
--- a/crates/gearman-conformance/src/lib.rs
+++ b/crates/gearman-conformance/src/lib.rs
@@ -1,6 +1,6 @@
 //! Scripted transcripts against a Gearman server: who sends which packet, what must come, in what order, within what.
 //!
-//! A [`Case`] is data: one TOML file under `cases/`. [`play`] plays it over loopback and tells the first packet that
+//! A [`Case`] is data: one TOML file under `cases/`. [`play`](fn@play) plays it over loopback and tells the first packet that
 //! differs. [`defect`] stands between the suite and a server and breaks it on purpose, to show that this is found.
 
 pub mod case;
--- a/crates/gearman/src/lib.rs
+++ b/crates/gearman/src/lib.rs
@@ -1,6 +1,6 @@
 //! The Gearman protocol, sans I/O: bytes and time come in, bytes and events go out.
 //!
-//! - [`packet`]: every packet type of the public specification ("Gearman Protocol", sections Client/Worker Requests,
+//! - [`packet`](mod@packet): every packet type of the public specification ("Gearman Protocol", sections Client/Worker Requests,
 //!   Client Requests and Responses, Worker Requests and Responses), its arguments, and how they are written.
 //! - [`decode`]: a stream of bytes becomes packets and administrators' lines, in bounded memory.
 //! - [`submit`]: the ten ways to submit a job as one typed record.
--- a/dispatcher/src/wire/gearman/jobs.rs
+++ b/dispatcher/src/wire/gearman/jobs.rs
@@ -99,16 +99,18 @@
         .then(|| Waiter { client: peer.number, with: Seat { peer: peer.clone(), exceptions } });
     let background = job.background;
     // Who joins needs no data: look before the data is laid out.
+    let join = |jobs: &mut Jobs, no: JobNo| match jobs.backlog.join(no, priority, background, waiter.clone())
+    {
+        Err(full) => Some(turned_away(full)),
+        Ok(()) => {
+            peer.send(reply(Kind::JobCreated, &[front.handle(no).as_bytes()]));
+            None
+        }
+    };
     {
         let mut jobs = lock(&front.jobs);
         if let Some(no) = jobs.backlog.by_unique(f, unique) {
-            return match jobs.backlog.join(no, priority, background, waiter) {
-                Err(full) => Some(turned_away(full)),
-                Ok(()) => {
-                    peer.send(reply(Kind::JobCreated, &[front.handle(no).as_bytes()]));
-                    None
-                }
-            };
+            return join(&mut jobs, no);
         }
         if let Err(full) = jobs.backlog.has_room(f, priority, data.len()) {
             return Some(turned_away(full));
@@ -123,12 +125,16 @@
         priority,
         unique: own,
         background,
-        waiter,
+        waiter: waiter.clone(),
         not_before,
         bytes: payload.raw.capacity(),
         payload,
     };
     let mut jobs = lock(&front.jobs);
+    // Another may have come with the same unique id meanwhile.
+    if let Some(no) = jobs.backlog.by_unique(f, &new.unique) {
+        return join(&mut jobs, no);
+    }
     match jobs.backlog.submit(new, clock::now()) {
         Err(full) => Some(turned_away(full)),
         Ok(no) => {
