--- /dev/null
+++ b/crates/waiting/src/lines.rs
@@ -0,0 +1,94 @@
+//! A tenant's lines: one for each class and one by age, linked through the jobs' own places.
+
+use crate::CLASSES;
+
+const NONE: u32 = u32::MAX;
+
+/// Two lists run through each place: that of its class (0) and that by age (1).
+#[derive(Clone, Copy, Debug)]
+struct Link {
+    before: [u32; 2],
+    after: [u32; 2],
+}
+
+/// The places' links, by key.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Links(Vec<Link>);
+
+impl Links {
+    /// Makes room for a key.
+    pub fn grow(&mut self, key: usize) {
+        if key >= self.0.len() {
+            self.0.resize(key + 1, Link { before: [NONE; 2], after: [NONE; 2] });
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Ends {
+    first: u32,
+    last: u32,
+}
+
+const EMPTY: Ends = Ends { first: NONE, last: NONE };
+
+/// The lines of one tenant.
+#[derive(Clone, Debug)]
+pub(crate) struct Lines {
+    classes: [Ends; CLASSES],
+    by_age: Ends,
+    /// Jobs in them.
+    pub len: usize,
+}
+
+impl Default for Lines {
+    fn default() -> Lines {
+        Lines { classes: [EMPTY; CLASSES], by_age: EMPTY, len: 0 }
+    }
+}
+
+fn append(ends: &mut Ends, list: usize, key: u32, links: &mut Links) {
+    let link = &mut links.0[key as usize];
+    (link.before[list], link.after[list]) = (ends.last, NONE);
+    match ends.last {
+        NONE => ends.first = key,
+        last => links.0[last as usize].after[list] = key,
+    }
+    ends.last = key;
+}
+
+fn unlink(ends: &mut Ends, list: usize, key: u32, links: &mut Links) {
+    let (before, after) = {
+        let link = &links.0[key as usize];
+        (link.before[list], link.after[list])
+    };
+    match before {
+        NONE => ends.first = after,
+        b => links.0[b as usize].after[list] = after,
+    }
+    match after {
+        NONE => ends.last = before,
+        a => links.0[a as usize].before[list] = before,
+    }
+}
+
+impl Lines {
+    /// Appends a job.
+    pub fn push(&mut self, class: usize, key: usize, links: &mut Links) {
+        append(&mut self.classes[class], 0, key as u32, links);
+        append(&mut self.by_age, 1, key as u32, links);
+        self.len += 1;
+    }
+    /// Takes one out.
+    pub fn remove(&mut self, class: usize, key: usize, links: &mut Links) {
+        unlink(&mut self.classes[class], 0, key as u32, links);
+        unlink(&mut self.by_age, 1, key as u32, links);
+        self.len -= 1;
+    }
+    /// The first by class, or the oldest.
+    pub fn first(&self, aged: bool) -> Option<usize> {
+        let by_class = || self.classes.iter().map(|c| c.first).find(|f| *f != NONE);
+        let first = if aged { Some(self.by_age.first).filter(|f| *f != NONE) } else { by_class() };
+        first.map(|f| f as usize)
+    }
+}
