--- a/crates/gearman-conformance/src/case.rs
+++ b/crates/gearman-conformance/src/case.rs
@@ -13,6 +13,7 @@
 /// - `>line` sends an administrator's line, `<line` awaits one; `<lines` awaits an answer up to a single dot in which
 ///   each of the arguments is a line; `<nolines` one in which none of them is;
 /// - `>hex` sends bytes; `<end` awaits the end of the connection; `close` ends it;
+/// - `until` asks an administrator's line over and over until one of its answer's lines is the second argument;
 /// - `quiet` awaits that nothing is under way: the next packet is the echo of one sent now;
 /// - `sleep` as a worker asks for a job, is told there is none, and sleeps; `take` is woken, asks, and awaits the
 ///   assignment with these arguments;
--- a/crates/gearman-conformance/src/play.rs
+++ b/crates/gearman-conformance/src/play.rs
@@ -173,6 +173,17 @@
                 if fits { Ok(()) } else { Err((pattern.clone(), came.unwrap_or_else(|e| e))) }
             }
             ("<lines" | "<nolines", patterns) => self.lines(who, patterns, what == "<lines"),
+            ("until", [line, pattern]) => {
+                let until = self.until();
+                loop {
+                    self.step(&[who.clone(), ">line".into(), line.clone()])?;
+                    let told = self.lines(who, std::slice::from_ref(pattern), true);
+                    if told.is_ok() || Instant::now() >= until {
+                        return told;
+                    }
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            }
             ("<end", []) => {
                 let until = self.until();
                 match self.peer(who)?.packet(until) {
--- a/dispatcher/src/wire/gearman/worker.rs
+++ b/dispatcher/src/wire/gearman/worker.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::Ordering;
 
 /// How long a worker that asks waits for the decisions, while there are jobs that wait for one.
-const ASK: Micros = 20_000;
+const ASK: Micros = 250_000;
 
 /// A job in a worker's hands.
 #[derive(Debug)]
