Hand no job to a worker once the last of its clients has left

Found by a story on a busy machine: a client left while its job was chosen for a worker, and the worker asked for it before the owner's word to give it up had come, so it ran with nobody waiting.

A worker that asks gets the chosen job only if it is still one: whoever left or cancelled it did so first. The attempt goes back as one that never ran.

--- a/crates/gearman/src/server.rs
+++ b/crates/gearman/src/server.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// The job that is chosen for it and that it has not grabbed.
+    pub fn chosen(&self) -> Option<&J> {
+        self.chosen.as_ref().map(|c| &c.job)
+    }
+
     /// Takes back a chosen job that fits and that it has not grabbed.
     pub fn withdraw(&mut self, is_it: impl Fn(&J) -> bool) -> Option<J> {
         self.chosen.take_if(|c| is_it(&c.job)).map(|c| c.job)
--- a/dispatcher/src/wire/gearman/worker.rs
+++ b/dispatcher/src/wire/gearman/worker.rs
@@ -268,6 +268,13 @@
     pub fn grab(self: &Arc<Self>, front: &Gearman, kind: Kind) -> Option<Vec<u8>> {
         self.heard(front);
         let now = clock::now();
+        // Its clients may have left since it was chosen, or it was cancelled: nobody would want it run.
+        let chosen = lock(&self.worker).chosen().and_then(|held| Some((held.id, held.job_no()?)));
+        let stale = chosen.filter(|(_, no)| lock(&front.jobs).backlog.job(*no).is_none());
+        if let Some((id, _)) = stale {
+            let back = self.change(front, |w| w.withdraw(|held| held.id == id));
+            back.into_iter().for_each(|held| never_ran(front, held.id, false));
+        }
         let may_wait = {
             let able = self.able();
             let jobs = lock(&front.jobs);
