Call off a safe job that does not start at once, and send it elsewhere

Checked: is what a report says of free slots worth anything? Of sends to workers reported with one free slot less than 50 ms ago, 51 % started late; with two, 40 %; at a worker drawn at random it is about 42 %. So no: reports are refreshed every 0.4 to 0.9 s and come 0.1 to 0.4 s late, a run takes about as long, and a hundred schedulers act on the same figures. Ruled out: a lack of slots (67 of 120 run), processor time (0.3 s at most in 24 s), connections (900 of some 80,000). The one prompt word is the start notice.

Change: in the module, what may be repeated and has not started after twice the quickest start seen from that zone is called off and goes to another worker, within the four attempts and never two at once; such jobs don't ask by a probe first. Cold workers that this scheduler may not send to don't count as room. In the core, an attempt that is called off while its stream lives on ends only when its host has answered the withdrawal: the next one might be there before, and be a second copy.

Each of the new tests fails without its part of the change.

--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -86,6 +86,10 @@
     taken: bool,
     /// Its verdict is given, or none is owed.
     ended: bool,
+    /// It is called off while its stream lives on.
+    quit: bool,
+    /// The attempt that this withdraws.
+    withdraws: Option<UpstreamId>,
 }
 
 impl Upstream {
@@ -100,6 +104,8 @@
             errand: None,
             taken: false,
             ended: false,
+            quit: false,
+            withdraws: None,
         }
     }
 }
@@ -144,7 +150,7 @@
     next_upstream: UpstreamId,
     due: BinaryHeap<Reverse<(Micros, Due)>>,
     /// Withdrawals for which there was no connection, and when to try again.
-    unsent: VecDeque<(Micros, FleetId, WorkerId, Ask)>,
+    unsent: VecDeque<(Micros, FleetId, WorkerId, Ask, Option<UpstreamId>)>,
     actions: Vec<Action>,
     swept: Micros,
     arrived: Micros,
@@ -443,7 +449,12 @@
             }
         }
         match heard {
-            Heard::Taken => up.taken = true,
+            Heard::Taken => {
+                up.taken = true;
+                if up.quit {
+                    self.withdraw(id);
+                }
+            }
             Heard::Started => {
                 up.taken = true;
                 self.notice(id, Note::Started);
@@ -458,14 +469,44 @@
             Heard::Probed(ok, gauge) => {
                 self.fleets[fleet].events.push(Event::Health { worker: host, ok, gauge });
             }
+            Heard::Withdrawn => {
+                let gone = self.upstreams.get_mut(&id).and_then(|u| u.withdraws.take());
+                if let Some(gone) = gone {
+                    self.end(gone, Outcome::Cancelled, Gauge::default(), Vec::new());
+                    self.drop_upstream(gone);
+                }
+            }
             Heard::Broken => match self.upstreams.get_mut(&id).and_then(|u| u.errand.take()) {
                 // On a kept connection that tells nothing of the host: again, on a new one.
-                Some(ask) if kept.is_some() => self.errand(fleet, host, ask, None),
+                Some(ask) if kept.is_some() => {
+                    let withdraws = self.upstreams.get_mut(&id).and_then(|u| u.withdraws.take());
+                    self.errand(fleet, host, ask, None, withdraws);
+                }
                 Some(Ask::Probe) => self.unanswered(fleet, host),
                 _ => {}
             },
             Heard::Nothing => {}
         }
+        if let Some(gone) =
+            self.upstreams.get_mut(&id).filter(|u| u.link.is_none()).and_then(|u| u.withdraws.take())
+        {
+            // The host has not heard of it: until it has, the attempt counts as out.
+            let payload = self
+                .upstreams
+                .get(&gone)
+                .filter(|u| !u.ended)
+                .and_then(|u| self.streams.get(&u.stream))
+                .map(|s| s.payload.clone());
+            if let Some(payload) = payload.filter(|_| self.unsent.len() < UNSENT) {
+                self.unsent.push_back((
+                    clock::now() + RETRY,
+                    fleet,
+                    host,
+                    Ask::Withdraw(payload),
+                    Some(gone),
+                ));
+            }
+        }
         let lost = |u: &Upstream| u.link.is_none() && !u.taken && !u.ended;
         if self.upstreams.get(&id).is_some_and(lost) {
             self.end(id, Outcome::Reset, Gauge::default(), Vec::new());
@@ -548,10 +589,29 @@
         self.end(id, outcome, Gauge::default(), Vec::new());
         self.drop_upstream(id);
         if let Some(payload) = payload.filter(|_| taken && !resident) {
-            self.errand(fleet, host, Ask::Withdraw(payload), Some(Need::Errand));
+            self.errand(fleet, host, Ask::Withdraw(payload), Some(Need::Errand), None);
         }
     }
 
+    /// Calls off an attempt whose stream lives on. It ends when the host has heard so and answered, since the next
+    /// one might be there before: one that the host has yet to take is withdrawn when it has.
+    fn call_off(&mut self, id: UpstreamId) {
+        let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended && !u.quit) else { return };
+        if up.link.as_ref().is_some_and(|l| l.resident()) {
+            return self.give_up(id, Outcome::Cancelled);
+        }
+        up.quit = true;
+        if up.taken {
+            self.withdraw(id);
+        }
+    }
+
+    fn withdraw(&mut self, id: UpstreamId) {
+        let Some(up) = self.upstreams.get(&id).filter(|u| !u.ended) else { return };
+        let Some(payload) = self.streams.get(&up.stream).map(|s| s.payload.clone()) else { return };
+        self.errand(up.fleet, up.host, Ask::Withdraw(payload), Some(Need::Errand), Some(id));
+    }
+
     /// A probe had no answer.
     fn unanswered(&mut self, fleet: FleetId, worker: WorkerId) {
         let gauge = Gauge::default();
@@ -559,26 +619,41 @@
     }
 
     /// Sends an upstream request that is not an attempt; without a need for a kept connection, on a new one.
-    fn errand(&mut self, fleet: FleetId, host: WorkerId, ask: Ask, need: Option<Need>) {
+    fn errand(
+        &mut self,
+        fleet: FleetId,
+        host: WorkerId,
+        ask: Ask,
+        need: Option<Need>,
+        withdraws: Option<UpstreamId>,
+    ) {
         let deadline = clock::now() + ERRAND;
-        let up =
-            Upstream { taken: true, ended: true, errand: Some(ask.clone()), ..Upstream::new(fleet, host) };
+        let up = Upstream {
+            taken: true,
+            ended: true,
+            errand: Some(ask.clone()),
+            withdraws,
+            ..Upstream::new(fleet, host)
+        };
         if self.launch(up, ask.clone(), deadline, need) {
             return;
         }
         if matches!(ask, Ask::Probe) {
             self.unanswered(fleet, host);
         } else if self.unsent.len() < UNSENT {
-            self.unsent.push_back((clock::now() + RETRY, fleet, host, ask));
+            self.unsent.push_back((clock::now() + RETRY, fleet, host, ask, withdraws));
         }
     }
 
     /// Sends withdrawals that found no connection.
     fn withdraw_again(&mut self, now: Micros) {
         while self.unsent.front().is_some_and(|u| u.0 <= now) {
-            let Some((_, fleet, host, ask)) = self.unsent.pop_front() else { return };
+            let Some((_, fleet, host, ask, gone)) = self.unsent.pop_front() else { return };
+            if gone.is_some_and(|id| self.upstreams.get(&id).is_none_or(|u| u.ended)) {
+                continue;
+            }
             if self.fleets[fleet].hosts.get(&host).is_some_and(|h| h.entry.state != Listed::Gone) {
-                self.errand(fleet, host, ask, Some(Need::Errand));
+                self.errand(fleet, host, ask, Some(Need::Errand), gone);
             }
         }
     }
@@ -721,14 +796,17 @@
             Action::Cancel { job, round } => {
                 let out = self.streams.get(&job.0).and_then(|s| s.out);
                 if let Some(id) = out.filter(|id| self.upstreams[id].round == round) {
-                    self.give_up(id, Outcome::Cancelled);
+                    match self.streams.get(&job.0).is_some_and(|s| !s.answered) {
+                        true => self.call_off(id),
+                        false => self.give_up(id, Outcome::Cancelled),
+                    }
                 }
             }
             Action::Refuse { job, backoff } => self.answer(job.0, Answer::Refused(backoff)),
             Action::Fail { job } => self.answer(job.0, Answer::Failed),
             Action::Timer { after, token } => self.fleets[f].timers.push(Reverse((now + after, token))),
             Action::Watch => self.fleets[f].dialer.iter().for_each(|d| d.watch()),
-            Action::Probe(worker) => self.errand(f, worker, Ask::Probe, Some(Need::Errand)),
+            Action::Probe(worker) => self.errand(f, worker, Ask::Probe, Some(Need::Errand), None),
             Action::Close(worker) => {
                 if let Some(host) = self.fleets[f].hosts.get_mut(&worker) {
                     host.pool.clear();
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -239,6 +239,8 @@
     Ended(Outcome, Gauge, Vec<u8>),
     /// A probe's answer.
     Probed(bool, Gauge),
+    /// The host has answered a withdrawal.
+    Withdrawn,
     /// The connection ended under a probe or a withdrawal.
     Broken,
     /// Nothing of note.
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -190,7 +190,7 @@
 fn heard(ask: &Ask, answer: &Message, site: &Site) -> Heard {
     let report = answer.value("x-load-report").and_then(http::load_report);
     match ask {
-        Ask::Withdraw(_) => Heard::Nothing,
+        Ask::Withdraw(_) => Heard::Withdrawn,
         Ask::Probe => {
             let body = std::str::from_utf8(answer.body()).ok().and_then(http::load_report);
             let gauge = report.or(body).map(|g| site.gauge(&g)).unwrap_or_default();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,8 +50,11 @@
 const LINE: f64 = 0.25; // mean runs for which a job is held before one may stand in line
 const STALE: f64 = 0.25; // age, in mean runs, from which a figure of free room is checked by a probe
 const REACH: f64 = 4.0; // workers of a pool that are tried where jobs wait a mean run there
+const OPENING: Micros = SECOND / 100; // that a worker may take over a new connection, beside its way
+const RETURN: f64 = 4.0; // mean runs after which a job may go again where it was called off
 const TICK_TOKEN: u64 = 1 << 40; // timer tokens above every job id
 const WATCH_TOKEN: u64 = 1 << 41;
+const MOVE_TOKEN: u64 = 1 << 42;
 
 impl Room {
     /// Takes in what is free beside own jobs that run; these may have changed, so they don't raise the total.
@@ -166,6 +169,7 @@
             }
         }
         let mut changed = events.iter().fold(false, |changed, e| self.take(e, out) | changed);
+        self.call_off(out);
         if now - self.swept >= self.tick / 2 {
             self.swept = now;
             changed |= self.sweep(out);
@@ -189,6 +193,7 @@
             Event::CancelledByClient(job) => self.end(*job, out),
             Event::Alarm(TICK_TOKEN) => self.tick_due = None,
             Event::Alarm(WATCH_TOKEN) => out.push(Action::Watch),
+            Event::Alarm(MOVE_TOKEN) => {}
             Event::Alarm(id) => {
                 let id = JobId(*id as u32);
                 if self.jobs.get(&id).is_some_and(|j| self.now >= j.deadline - 2 * self.set.tick) {
@@ -313,6 +318,14 @@
             && weight + worker.recent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum::<f64>() <= budget
     }
 
+    /// Whether a worker may still be warming up.
+    fn cold(&self, worker: &Worker) -> bool {
+        let safety = &self.set.safety;
+        let broke = worker.broke.filter(|at| self.now - at < PRESUMED);
+        let up = worker.listed.up_since.max(broke);
+        up.is_some_and(|up| self.now < up.saturating_add(safety.cold + safety.fall))
+    }
+
     /// Schedulers that may send to one cold worker: by settings alone, so few that a job fits into a part.
     fn stewards(&self) -> usize {
         let safety = &self.set.safety;
@@ -328,7 +341,13 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let worker = &mut self.workers[w];
         let beside = worker.own[SLOT];
-        let new = Try { worker: w, sent: now, heard: now, run, beside, out: true, ..Try::default() };
+        // A first word takes as long as the quickest from there so far, twice that on a new connection.
+        let quick = self.quickest.get(&worker.listed.zone).copied().unwrap_or(self.tick / 8);
+        let ways = if worker.idle.is_empty() { 4.0 } else { 2.0 };
+        let extra = if worker.idle.is_empty() { OPENING } else { 0 };
+        let patience = (quick as f64 * ways) as Micros + 2 * self.set.tick + extra;
+        let new =
+            Try { worker: w, patience, sent: now, heard: now, run, beside, out: true, ..Try::default() };
         let counted = self.set.safety.allowance.iter().filter(|_| !job.tries.is_empty());
         counted.for_each(|a| log(&mut self.further, now, a.window));
         job.tries.push(Try { booked: true, ..new });
@@ -346,6 +365,9 @@
         worker.recent.push((now, job.work.max(self.classes[job.class].mean)));
         job.key.iter().for_each(|key| worker.remember(*key, KEYS));
         out.push(Action::Send { job: id, worker: worker.listed.worker, max_wait: 0 });
+        if self.moves(&self.jobs[&id]) {
+            out.push(Action::Timer { after: patience, token: MOVE_TOKEN });
+        }
     }
 
     /// Rules 1 and 2: the only way to a final answer of our own, once for a job; refused only if harmless.
@@ -629,6 +651,8 @@
                     }
                 }
                 worker.stood = 0.0;
+                let quickest = self.quickest.entry(worker.listed.zone).or_insert(now - t.sent);
+                *quickest = (*quickest).min(now - t.sent);
                 worker.wait.add((now - t.sent) as f64, 1.0, now, WAIT_MEMORY);
                 if t.beside == 0.0 {
                     self.waits[worker.pool].add((now - t.sent) as f64, 1.0, now, WAIT_MEMORY);
@@ -649,6 +673,39 @@
         false
     }
 
+    /// Whether an attempt of a job that has not started may be called off, and the job go elsewhere.
+    fn moves(&self, job: &Job) -> bool {
+        let (limits, class) = (&self.set.limits, &self.set.classes[job.class]);
+        limits.cancel
+            && !limits.second_copies
+            && self.set.tells_start
+            && class.effect == Effect::Safe
+            && job.tries.len() < limits.send_cap as usize
+    }
+
+    /// Reports are old, and all schedulers act on the same ones; who does not start a job at once is full now. What
+    /// may be repeated goes elsewhere before it has stood there for long.
+    fn call_off(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let mut stands = Vec::new();
+        for (&id, job) in self.jobs.iter().filter(|(_, j)| !j.ended && self.moves(j)) {
+            let Some((round, t)) = job.tries.iter().enumerate().next_back() else { continue };
+            let stands_there = t.out && t.booked && t.started.is_none() && !t.quit;
+            let met = |w: usize| job.tries.iter().any(|t| t.worker == w);
+            if stands_there && now - t.sent >= t.patience && self.ring.iter().any(|r| !met(r.1)) {
+                stands.push((id, round));
+            }
+        }
+        for (id, round) in stands {
+            let Some(t) = self.jobs.get_mut(&id).and_then(|j| j.tries.get_mut(round)) else { continue };
+            t.quit = true;
+            let worker = &mut self.workers[t.worker];
+            worker.room[SLOT].infer(t.beside, false, worker.running[SLOT], now);
+            worker.news = true;
+            out.push(Action::Cancel { job: id, round: round as u32 });
+        }
+    }
+
     /// Silence is evidence too: overdue progress notes raise doubt, a late start means that others fill the
     /// worker, jobs stuck on either may go elsewhere, and an overrun tells a slow worker.
     fn sweep(&mut self, out: &mut Vec<Action>) -> bool {
@@ -714,6 +771,7 @@
                     self.view(w);
                 }
                 let has_room = self.workers[w].view.free[SLOT] > 0.0;
+                let has_room = has_room && (self.workers[w].steward || !self.cold(&self.workers[w]));
                 room += (has_room && self.workers[w].shunned.is_empty()) as usize;
                 if (has_room || i < most) && (part < 2 || !self.near.contains(&w)) {
                     self.near.push(w);
@@ -898,7 +956,9 @@
         // What an error ends is no trial.
         let again = !matches!(self.set.classes[job.class].effect, Effect::Unsafe);
         let sound = again || self.workers[w].view.success >= TRIAL_BELOW * self.best_success;
-        room && sound && !self.workers[w].shuns(job.lane, self.now)
+        let lately = self.now - (RETURN * self.outlook.0) as Micros;
+        let stood = job.tries.iter().any(|t| t.quit && t.worker == w && t.sent > lately);
+        room && sound && !stood && !self.workers[w].shuns(job.lane, self.now)
     }
 
     /// Ranks the margins of waiting jobs and starts the highest positive ones within room.
@@ -944,8 +1004,9 @@
                 continue;
             }
             // An old figure says little: ask first, where allowed, and let no other job of the pass slip by.
+            let moves = self.moves(&self.jobs[&id]);
             let (worker, now) = (&mut self.workers[w], self.now);
-            let old = self.set.limits.may_probe && now - worker.room[SLOT].at > stale;
+            let old = self.set.limits.may_probe && !moves && now - worker.room[SLOT].at > stale;
             if old && now - worker.probed > stale {
                 // One worker a job and pass: a question costs, and the best one's answer may do.
                 if asked.insert(id) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,6 +27,9 @@
     /// Its booking still counts.
     pub(crate) booked: bool,
     pub(crate) never_ran: bool,
+    /// How long it may stand without a start before it is called off, and whether it was.
+    pub(crate) patience: Micros,
+    pub(crate) quit: bool,
 }
 
 /// A tenant's jobs of a class.
@@ -428,6 +431,8 @@
     /// Highest chance of success among the workers.
     pub(crate) best_success: f64,
     pub(crate) watch_pause: Micros,
+    /// The quickest start of a job in each zone.
+    pub(crate) quickest: BTreeMap<ZoneId, Micros>,
 }
 
 impl Dispatcher {
@@ -475,6 +480,7 @@
             tick_due: None,
             best_success: 1.0,
             watch_pause: 0,
+            quickest: BTreeMap::new(),
             set,
         }
     }
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -537,3 +537,50 @@
     }
     assert!((1..=5).contains(&failed), "{failed} in 1.2 s");
 }
+
+fn no_copies() -> Settings {
+    let mut set = settings();
+    (set.limits.second_copies, set.limits.send_cap) = (false, 4);
+    set
+}
+
+/// Guards against queues beside idle workers: a hundred schedulers act on the same old reports, and half of all
+/// jobs stood at full workers. What may be repeated goes elsewhere, one attempt at a time; a payment stays.
+#[test]
+fn a_safe_job_that_does_not_start_at_once_goes_elsewhere() {
+    let mut d = Driver::with_workers(no_copies(), 8);
+    d.feed(&[job(1, SAFE), job(2, UNSAFE)]);
+    let mut met = BTreeSet::new();
+    for round in 0..4 {
+        let (_, at, w) = *d.out().iter().find(|o| o.0 == 1).expect("it is out");
+        assert!(at == round && met.insert(w), "it stood at {w} before");
+        let acts = d.pass(SECOND / 5);
+        let off = acts.contains(&Action::Cancel { job: JobId(1), round });
+        assert_eq!(off, round < 3, "the last attempt stays");
+        if off {
+            assert!(!sends(&acts).iter().any(|s| s.0 == 1), "two attempts at once");
+            d.feed(&[verdict(1, round, Outcome::Cancelled)]);
+            d.pass(SECOND / 50);
+        }
+    }
+    assert!(!d.log.iter().any(|l| matches!(l.1, Action::Cancel { job: JobId(2), .. })));
+    // One that starts is left alone.
+    d.feed(&[job(3, SAFE)]);
+    d.feed(&[started(3, 0)]);
+    assert!(!d.pass(SECOND / 2).contains(&Action::Cancel { job: JobId(3), round: 0 }));
+}
+
+/// Guards against jobs held beside free workers: cold ones that only others may send to filled the places of those
+/// with room, and the warm ones behind them were not looked at.
+#[test]
+fn cold_workers_of_others_hide_no_warm_one() {
+    let mut set = no_copies();
+    set.fleet_size = 100;
+    let mut d = Driver::new(set);
+    let cold = |w: u64| Some(SECOND / 2).filter(|_| w < 40);
+    let entries = (0..48).map(|w| entry(w, Listed::Ready, cold(w))).collect();
+    d.feed(&[Event::Fleet { mode: ListMode::Complete, entries }]);
+    d.feed(&(0..8).map(|id| job(id, UNSAFE)).collect::<Vec<_>>());
+    d.pass(SECOND / 10);
+    assert_eq!(d.out().len(), 8, "{:?}", d.out());
+}
