Let the stewards of a cold worker grow with its warmth, and follow the traffic

Only two of a hundred dispatchers might send to a cold worker, drawn by hash, whatever its age (src/rules.rs, stewards and enrol), and the load is uneven: ten dispatchers have 53 % of it, half have 9 % together. So most stewards had no work for their workers and the busy ones had one or two workers. The budget went by the mean room for own jobs, which others' jobs make small, instead of the worker's whole.

Change: as many stewards as parts of the budget hold a job of the heaviest class, by the warmth at the beginning of the span; who has more than the mean part of the traffic, by the tenants' quotas, stands as much further ahead in the order, so that the sum stays. 0.7 of the budget is used.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,6 +25,8 @@
 const HEALTH_MEMORY: f64 = 5e6;
 const WAIT_MEMORY: f64 = 4e6;
 const RATE_MEMORY: f64 = 3e6;
+const FLOW_MEMORY: f64 = 10e6;
+const FLOW_PRIOR: f64 = 2.0; // seconds of mean traffic that count before any
 pub(crate) const POOL_WEIGHT: f64 = 2.0; // samples that the mean of a wider pool counts as
 const PACE_CLIP: f64 = 1.0; // of a speed sample around the estimate, in log units, against heavy tails
 const UNHINTED: f64 = 0.3; // weight of a speed sample without a hint
@@ -33,10 +35,9 @@
 const PAUSE: [Micros; 2] = [SECOND / 2, 4 * SECOND]; // between trials, and calls to discovery: first, longest
 const FIRST_ROOM: f64 = 2.0; // of a worker when nothing at all is known, in slots or memory units
 const REPORT_AGE: Micros = SECOND / 2; // of a report that comes with a delay
-const COLD_CARE: f64 = 0.6; // share of the cold budget that is used, since the capacity behind it is a guess
+const COLD_CARE: f64 = 0.7; // share of the cold budget that is used, since the capacity behind it is a guess
 const PRESUMED: Micros = 5 * SECOND; // how long a process seen down counts as started, as the list is late
 const TOGETHER: Micros = SECOND / 2; // breaks within this span are one event
-const STEWARDS: usize = 4; // most schedulers that may send to a cold worker, see `stewards`
 const KEYS: usize = 8; // remembered per worker
 const HOME_MISS: [f64; 2] = [0.3, 0.7]; // chance that data is missing at its first or second home
 const SENT_MISS: f64 = 0.4; // chance that it is missing where we sent it: others may have pushed it out
@@ -164,6 +165,7 @@
             (self.started, self.bucket, self.priced, self.swept) =
                 (true, now / self.tick, now - self.tick, now);
             self.window_end = (now / self.tick) as f64 + WINDOW;
+            self.since = now;
             if self.set.must_watch {
                 out.push(Action::Watch);
             }
@@ -227,6 +229,7 @@
         self.worth.add(worth, 1.0, 200.0);
         self.work.add(work, 1.0, 200.0);
         self.rate.add(0.0, 1.0, self.now, RATE_MEMORY);
+        self.flow.add(0.0, 1.0, self.now, FLOW_MEMORY);
         self.set.safety.allowance.iter().for_each(|a| log(&mut self.taken, self.now, a.window));
         let share = new.tenant.map_or(1.0, |t| self.share_worth(t.0 as usize));
         // Rule 1: each job carries its own timer. A tick early, so that the answer is never late.
@@ -297,40 +300,52 @@
         further as f64 <= a.floor + a.ratio * taken as f64
     }
 
-    /// Rule 4: over any span of `fall`, our part of what a cold worker bears, on the slowest warming allowed.
-    fn within_cold_budget(&self, worker: &Worker, job: &Job) -> bool {
+    /// Least share of its capacity that a worker had then, on the slowest warming allowed.
+    fn warmth(&self, worker: &Worker, at: Micros) -> f64 {
         let safety = &self.set.safety;
         let broke = worker.broke.filter(|at| self.now - at < PRESUMED);
-        let Some(up) = worker.listed.up_since.max(broke) else { return true };
-        let since = self.now - safety.fall;
-        if since >= up.saturating_add(safety.cold) {
-            return true;
-        }
-        // The span that ends now began when the worker was colder: take the capacity of that time.
-        let age = (since - up).max(0) as f64 / safety.cold.max(1) as f64;
-        let share = safety.cold_share + (1.0 - safety.cold_share) * age.min(1.0);
-        let capacity = worker.room[SLOT].mean.max(1.0) * share / self.pace(worker).exp();
-        let span = safety.fall as f64 / SECOND as f64;
-        let budget = COLD_CARE * safety.fall_multiple * capacity * span / self.stewards() as f64;
-        // A short job counts as its class's mean, or a crowd of them would push a worker over.
-        let weight = job.work.max(self.classes[job.class].mean);
-        worker.steward
-            && weight + worker.recent.iter().filter(|s| s.0 >= since).map(|s| s.1).sum::<f64>() <= budget
+        let up = worker.listed.up_since.max(broke).filter(|up| at < up.saturating_add(safety.cold));
+        let age = |up: Micros| (at - up).max(0) as f64 / safety.cold as f64;
+        up.map_or(1.0, |up| safety.cold_share + (1.0 - safety.cold_share) * age(up))
     }
 
-    /// Whether a worker may still be warming up.
+    /// Whether a worker may still be warming up: over any span of `fall` that ends now.
     fn cold(&self, worker: &Worker) -> bool {
-        let safety = &self.set.safety;
-        let broke = worker.broke.filter(|at| self.now - at < PRESUMED);
-        let up = worker.listed.up_since.max(broke);
-        up.is_some_and(|up| self.now < up.saturating_add(safety.cold + safety.fall))
+        self.warmth(worker, self.now - self.set.safety.fall) < 1.0
     }
 
-    /// Schedulers that may send to one cold worker: by settings alone, so few that a job fits into a part.
-    fn stewards(&self) -> usize {
+    /// Work that we all together may send to a cold worker in that span, by what it could do at its beginning.
+    fn bears(&self, worker: &Worker) -> f64 {
         let safety = &self.set.safety;
-        let bears = safety.fall_multiple * safety.cold_share * safety.fall as f64 / SECOND as f64;
-        ((STEWARDS as f64 * bears) as usize).clamp(1, STEWARDS).min(self.set.fleet_size as usize)
+        let warmth = self.warmth(worker, self.now - safety.fall);
+        let capacity = worker.room[SLOT].total.max(1.0) * warmth / self.pace(worker).exp();
+        COLD_CARE * safety.fall_multiple * capacity * safety.fall as f64 / SECOND as f64
+    }
+
+    /// Schedulers that may send to it: so few that a job of any class fits into a part.
+    fn stewards(&self, worker: &Worker) -> f64 {
+        let heaviest = self.classes.iter().map(|c| c.mean).fold(f64::MIN_POSITIVE, f64::max);
+        (self.bears(worker) / heaviest).floor().clamp(1.0, self.set.fleet_size as f64)
+    }
+
+    /// Whether we are one of them. All draw by one hash; who has more than the mean part of the traffic, by the
+    /// quotas, draws as much more of them, so that their sum stays: else the busy have no worker when all are cold.
+    fn steward(&self, worker: &Worker) -> bool {
+        let (all, stewards) = (self.set.fleet_size as f64, self.stewards(worker));
+        let usual = self.set.tenants.iter().map(|t| t.quota_per_s).sum::<f64>() / all;
+        let span = (self.now - self.since).min(FLOW_MEMORY as Micros) as f64 / SECOND as f64;
+        let flow = self.flow.weight * self.flow.keep(self.now, FLOW_MEMORY);
+        let part = if usual > 0.0 { (flow / usual + FLOW_PRIOR) / (span + FLOW_PRIOR) } else { 1.0 };
+        stewards >= all || (worker.rank as f64) < stewards * part
+    }
+
+    /// Rule 4: over any span of `fall`, our part of what a cold worker bears.
+    fn within_cold_budget(&self, worker: &Worker, job: &Job) -> bool {
+        // A short job counts as its class's mean, or a crowd of them would push a worker over.
+        let weight = job.work.max(self.classes[job.class].mean);
+        let recent = worker.recent.iter().filter(|s| s.0 >= self.now - self.set.safety.fall);
+        let part = || self.bears(worker) / self.stewards(worker);
+        !self.cold(worker) || self.steward(worker) && weight + recent.map(|s| s.1).sum::<f64>() <= part()
     }
 
     fn send(&mut self, id: JobId, w: usize, out: &mut Vec<Action>) {
@@ -343,8 +358,7 @@
         let beside = worker.own[SLOT];
         // A first word takes as long as the quickest from there so far, twice that on a new connection.
         let quick = self.quickest.get(&worker.listed.zone).copied().unwrap_or(self.tick / 8);
-        let ways = if worker.idle.is_empty() { 4.0 } else { 2.0 };
-        let extra = if worker.idle.is_empty() { OPENING } else { 0 };
+        let (ways, extra) = if worker.idle.is_empty() { (4.0, OPENING) } else { (2.0, 0) };
         let patience = (quick as f64 * ways) as Micros + 2 * self.set.tick + extra;
         let new =
             Try { worker: w, patience, sent: now, heard: now, run, beside, out: true, ..Try::default() };
@@ -557,9 +571,8 @@
     fn enrol(&mut self, known: Option<usize>, mut new: Worker) {
         let (id, w) = (mix(new.listed.worker.0), known.unwrap_or(self.workers.len()));
         let rank = |i: u32| (mix(id ^ i as u64), i);
-        let ahead = (0..self.set.fleet_size).filter(|&i| rank(i) > rank(self.set.me)).count();
-        new.steward = ahead < self.stewards();
-        self.order[2].extend(Some(w).filter(|_| new.steward && new.listed.up_since.is_some()));
+        new.rank = (0..self.set.fleet_size).filter(|&i| rank(i) > rank(self.set.me)).count();
+        self.order[2].extend(Some(w).filter(|_| new.listed.up_since.is_some()));
         if let Some(old) = self.workers.get_mut(w) {
             (new.recent, new.connected) = (std::mem::take(&mut old.recent), old.connected);
             *old = new;
@@ -676,28 +689,26 @@
     /// Whether an attempt of a job that has not started may be called off, and the job go elsewhere.
     fn moves(&self, job: &Job) -> bool {
         let (limits, class) = (&self.set.limits, &self.set.classes[job.class]);
-        limits.cancel
-            && !limits.second_copies
-            && self.set.tells_start
-            && class.effect == Effect::Safe
-            && job.tries.len() < limits.send_cap as usize
+        let may = limits.cancel && !limits.second_copies && self.set.tells_start;
+        may && class.effect == Effect::Safe && job.tries.len() < limits.send_cap as usize
     }
 
     /// Reports are old, and all schedulers act on the same ones; who does not start a job at once is full now. What
     /// may be repeated goes elsewhere before it has stood there for long.
     fn call_off(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
-        let mut stands = Vec::new();
-        for (&id, job) in self.jobs.iter().filter(|(_, j)| !j.ended && self.moves(j)) {
-            let Some((round, t)) = job.tries.iter().enumerate().next_back() else { continue };
-            let stands_there = t.out && t.booked && t.started.is_none() && !t.quit;
+        let late =
+            |t: &Try| t.out && t.booked && t.started.is_none() && !t.quit && now - t.sent >= t.patience;
+        let stands = |job: &Job| {
             let met = |w: usize| job.tries.iter().any(|t| t.worker == w);
-            if stands_there && now - t.sent >= t.patience && self.ring.iter().any(|r| !met(r.1)) {
-                stands.push((id, round));
-            }
-        }
-        for (id, round) in stands {
-            let Some(t) = self.jobs.get_mut(&id).and_then(|j| j.tries.get_mut(round)) else { continue };
+            let elsewhere = || self.ring.iter().any(|r| !met(r.1));
+            !job.ended && self.moves(job) && job.tries.last().is_some_and(late) && elsewhere()
+        };
+        let stands: Vec<JobId> = self.jobs.iter().filter(|j| stands(j.1)).map(|j| *j.0).collect();
+        for id in stands {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let round = job.tries.len() - 1;
+            let t = &mut job.tries[round];
             t.quit = true;
             let worker = &mut self.workers[t.worker];
             worker.room[SLOT].infer(t.beside, false, worker.running[SLOT], now);
@@ -770,10 +781,11 @@
                 if full || self.workers[w].news {
                     self.view(w);
                 }
-                let has_room = self.workers[w].view.free[SLOT] > 0.0;
-                let has_room = has_room && (self.workers[w].steward || !self.cold(&self.workers[w]));
+                let worker = &self.workers[w];
+                let ours = !self.cold(worker) || self.steward(worker);
+                let has_room = ours && worker.view.free[SLOT] > 0.0;
                 room += (has_room && self.workers[w].shunned.is_empty()) as usize;
-                if (has_room || i < most) && (part < 2 || !self.near.contains(&w)) {
+                if (has_room || i < most) && (part < 2 || ours && !self.near.contains(&w)) {
                     self.near.push(w);
                 }
                 if room == most {
--- a/src/state.rs
+++ b/src/state.rs
@@ -137,8 +137,8 @@
 pub(crate) struct Worker {
     pub(crate) listed: FleetEntry,
     pub(crate) ready: bool,
-    /// We may send to it while it is cold.
-    pub(crate) steward: bool,
+    /// Schedulers ahead of us in its own order of all: the first look after it while it is cold.
+    pub(crate) rank: usize,
     /// Most `units` listed.
     pub(crate) size: f64,
     /// Own bookings, those of them that run, and the learned room for them.
@@ -209,7 +209,7 @@
     pub(crate) fn new(e: &FleetEntry, room: [f64; 2], price: Lanes, now: Micros) -> Worker {
         let mut worker = Worker {
             listed: e.clone(),
-            steward: false,
+            rank: 0,
             size: e.units,
             ready: e.state == Listed::Ready,
             own: [0.0; 2],
@@ -404,6 +404,9 @@
     pub(crate) fleet_pace: Fading,
     pub(crate) tenant_rate: Vec<Fading>,
     pub(crate) rate: Fading,
+    /// The same over a longer span, and when we began to count.
+    pub(crate) flow: Fading,
+    pub(crate) since: Micros,
     /// Jobs taken, and attempts beyond a job's first, within the site's window where these are counted.
     pub(crate) taken: VecDeque<Micros>,
     pub(crate) further: VecDeque<Micros>,
@@ -461,6 +464,8 @@
             fleet_pace: Fading::default(),
             tenant_rate: vec![Fading::default(); set.tenants.len()],
             rate: Fading::default(),
+            flow: Fading::default(),
+            since: 0,
             taken: VecDeque::new(),
             further: VecDeque::new(),
             worth: Mean::default(),
