Spread the calls to discovery over a time that grows with the number of dispatchers

Calls failed after exactly 2.0 s, and again 2.2 to 2.6 s later: 59 failed in one second, 31, 29 and 29 in later ones, while not one succeeded after the first 2 s.

Checked: about 30 calls are served in the first 2 s, some 66 ms each, so all 70 take less than 5 s if they don't stand in each other's way.

Lines at fault: src/rules.rs, step (the first call at once, for all) and fleet (a pause of 0.25 to 0.5 s after a failure, the same for all that failed together). Change: the first call at a turn of one's own in a round of a twelfth of a second for each dispatcher told, at most four fifths of the time that binds us; a repeat anywhere in such a round.

A hundred instances are played side by side in the test: without the change all call in one second.

--- a/src/inner_tests.rs
+++ b/src/inner_tests.rs
@@ -437,3 +437,43 @@
     }
     assert!(sent.iter().all(|(n, expected)| n == expected), "{sent:?}");
 }
+
+/// A hundred schedulers that share nothing come up together and call discovery, which serves twelve calls a second.
+/// Found as 48 of 70 that never had a list again after a release: all called in one moment, failed together, and
+/// came back together.
+#[test]
+fn schedulers_that_come_up_together_call_discovery_in_turn() {
+    let (all, per_second) = (100, 12);
+    let calls = |me: u32, fails: bool| {
+        let mut set = settings();
+        (set.must_watch, set.fleet_size, set.me, set.safety.ask_within) = (true, all, me, 10 * SECOND);
+        let mut d = Dispatcher::new(set, me as u64).expect("sound settings");
+        let (mut calls, mut alarms, mut out) = (vec![], BTreeSet::new(), vec![]);
+        let broken = Event::Fleet { mode: ListMode::Broken, entries: vec![] };
+        d.step(0, &[], &mut out);
+        loop {
+            for action in out.drain(..) {
+                match action {
+                    Action::Timer { after, token } => _ = alarms.insert((d.now + after, token)),
+                    Action::Watch => calls.push(d.now),
+                    _ => {}
+                }
+            }
+            // Where they fail, all fail at one moment.
+            match alarms.pop_first().filter(|_| calls.is_empty() || fails && calls.len() < 2) {
+                Some((at, token)) => d.step(at, &[Event::Alarm(token)], &mut out),
+                None if fails && calls.len() == 1 => {
+                    d.step(20 * SECOND, std::slice::from_ref(&broken), &mut out)
+                }
+                None => return calls[calls.len() - 1],
+            }
+        }
+    };
+    for (fails, most) in [(false, per_second + 2), (true, 2 * per_second + 4)] {
+        let mut at: Vec<Micros> = (0..all).map(|me| calls(me, fails)).collect();
+        at.sort_unstable();
+        let busiest = at.iter().map(|t| at.iter().filter(|u| (0..SECOND).contains(&(*u - t))).count()).max();
+        assert!(busiest <= Some(most), "{busiest:?} calls in a second, failed before: {fails}");
+        assert!(at[99] - at[0] <= 9 * SECOND, "the last one called within what binds it");
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,8 +13,7 @@
 const SAMPLE: usize = 8; // columns per price step, and steps per update: a few microseconds
 const STEPS: usize = 2;
 const ETA: f64 = 0.1; // η, in mean worths of a slot for a tick: a price crosses its range in a dozen steps
-/// Weights of the payoff's saved steps (β, γ, over a window), of a start within t2' (ζ2), and σ: shares of a
-/// job's worth, σ of the mean one. Small: they order what the worth in time leaves equal.
+/// Weights of saved steps (β, γ), of a start within t2' (ζ2), and σ; small: they order what is else equal.
 const SAVED_STEPS: f64 = 0.05;
 const START_BONUS: f64 = 0.05;
 const START_SHARE: f64 = 0.5;
@@ -33,6 +32,7 @@
 const HEALTH_PRIOR: f64 = 0.3; // answers that success counts as before any: little, so that one error tells
 const TRIAL_BELOW: f64 = 0.6; // chance of success from which down a worker gets single trials
 const PAUSE: [Micros; 2] = [SECOND / 2, 4 * SECOND]; // between trials, and calls to discovery: first, longest
+const CALL: Micros = SECOND / 12; // that a call takes discovery where all call, with a margin
 const FIRST_ROOM: f64 = 2.0; // of a worker when nothing at all is known, in slots or memory units
 const REPORT_AGE: Micros = SECOND / 2; // of a report that comes with a delay
 const COLD_CARE: f64 = 0.7; // share of the cold budget that is used, since the capacity behind it is a guess
@@ -167,7 +167,9 @@
             self.window_end = (now / self.tick) as f64 + WINDOW;
             self.since = now;
             if self.set.must_watch {
-                out.push(Action::Watch);
+                // All may have come up at once, and discovery serves one after another: each at a time of its own.
+                let turn = (self.set.me as f64 * GOLDEN).fract() * self.round() as f64;
+                out.push(Action::Timer { after: turn as Micros, token: WATCH_TOKEN });
             }
         }
         let mut changed = events.iter().fold(false, |changed, e| self.take(e, out) | changed);
@@ -491,13 +493,19 @@
 
     // ---- The list of workers ----
 
+    /// The time in which discovery may serve all of us in turn, within what binds us.
+    fn round(&self) -> Micros {
+        (self.set.fleet_size as Micros * CALL).min(self.set.safety.ask_within * 4 / 5)
+    }
+
     fn fleet(&mut self, mode: ListMode, entries: &[FleetEntry], out: &mut Vec<Action>) {
         if mode == ListMode::Broken {
             // Ask anew, ever more slowly so as not to crowd discovery, but within the time that binds us.
             let most = (self.set.safety.ask_within / 2).max(PAUSE[0]);
             let pause = self.watch_pause.clamp(PAUSE[0], most);
             self.watch_pause = pause * 2;
-            let jitter = (self.rng.rand_float() * pause as f64 / 2.0) as Micros;
+            // Who fails may have failed with all the others: as wide apart as at the start.
+            let jitter = (self.rng.rand_float() * (pause / 2).max(self.round()) as f64) as Micros;
             out.push(Action::Timer { after: pause / 2 + jitter, token: WATCH_TOKEN });
             return;
         }
@@ -534,9 +542,7 @@
             self.reorder();
         }
         // Rule 7: to be told of a drain closes what is idle; what is out closes with its outcome.
-        for w in 0..self.workers.len() {
-            self.close_drained(w, out);
-        }
+        (0..self.workers.len()).for_each(|w| self.close_drained(w, out));
     }
 
     fn close_drained(&mut self, w: usize, out: &mut Vec<Action>) {
@@ -659,9 +665,7 @@
             Note::Started => {
                 if t.started.replace(now).is_none() && t.booked && self.set.tells_start {
                     worker.mark(now);
-                    for r in [SLOT, MEMORY] {
-                        worker.running[r] += job.need[r];
-                    }
+                    [SLOT, MEMORY].iter().for_each(|&r| worker.running[r] += job.need[r]);
                 }
                 worker.stood = 0.0;
                 let quickest = self.quickest.entry(worker.listed.zone).or_insert(now - t.sent);
@@ -764,8 +768,7 @@
     pub(crate) fn look(&mut self, full: bool) {
         let now = self.now;
         let fleet = self.fleet_pace.pooled(0.0, now, KIND_MEMORY);
-        let kinds = self.kinds.iter().map(|(id, k)| (*id, k.pooled(fleet, now, KIND_MEMORY)));
-        self.kind_pace = kinds.collect();
+        self.kind_pace = self.kinds.iter().map(|(id, k)| (*id, k.pooled(fleet, now, KIND_MEMORY))).collect();
         // A zone short of workers makes jobs wait that others would start at once.
         let waits = self.waits.each_ref().map(|w| w.pooled(0.0, now, WAIT_MEMORY));
         self.outlook = (self.turnover(), waits);
@@ -1035,8 +1038,7 @@
     /// A job that may not go out again, or that a free worker would hardly serve in time, nor late for some
     /// worth, is answered at once: it would only take room.
     fn give_up(&mut self, out: &mut Vec<Action>) {
-        let stretches = self.near.iter().map(|w| self.workers[*w].view.stretch);
-        let best = stretches.fold(f64::INFINITY, f64::min);
+        let best = self.near.iter().map(|w| self.workers[*w].view.stretch).fold(f64::INFINITY, f64::min);
         let least = if self.set.tail_misses.is_some() { SURE } else { HOPE };
         let hopeless = |id: &&JobId| {
             let held = self.jobs.get(id).filter(|j| !j.any_out() && best.is_finite());
