Give up at once what stands unstarted at a worker beyond hope, while others wait

Checked and ruled out: looking at more workers.

Lines at fault: src/rules.rs, give_up: it looked at jobs that wait here, not at those that stand at a worker. Change: where others wait for room, an attempt that has not started and whose job, started now, has less than the least chance of worth is called off and the job answered; a payment as failed. One that runs is left alone.

--- a/dispatcher/tests/platform.rs
+++ b/dispatcher/tests/platform.rs
@@ -533,3 +533,17 @@
     peer.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
     assert_eq!(client.read().expect("an answer").status(), 200);
 }
+
+/// A withdrawal whose connection breaks may not have arrived: it goes out again, and the job waits on.
+#[rstest]
+fn a_withdrawal_that_broke_goes_out_again_before_the_job_does() {
+    let (first, second) = (Host::new("s-1"), Host::new("s-2"));
+    let (_discovery, dispatcher, mut client, peer) = a_job_that_stands(&first, &second);
+    drop(peer);
+    let (mut peer, withdrawal) = first.request();
+    assert_eq!(withdrawal.start, "DELETE /jobs/c1 HTTP/1.1");
+    peer.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    assert_eq!(second.take().1.header("x-call-id"), Some("c1"));
+    assert_eq!(dispatcher.call_back("c1", "s-2", DONE), 204);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -167,7 +167,7 @@
             self.window_end = (now / self.tick) as f64 + WINDOW;
             self.since = now;
             if self.set.must_watch {
-                // All may have come up at once, and discovery serves one after another: each at a time of its own.
+                // All may have come up at once, and discovery serves in turn: each at a time of its own.
                 let turn = (self.set.me as f64 * GOLDEN).fract() * self.round() as f64;
                 out.push(Action::Timer { after: turn as Micros, token: WATCH_TOKEN });
             }
@@ -316,7 +316,7 @@
         self.warmth(worker, self.now - self.set.safety.fall) < 1.0
     }
 
-    /// Work that we all together may send to a cold worker in that span, by what it could do at its beginning.
+    /// Work that we all together may send to a cold worker in that span, by what it could do at its start.
     fn bears(&self, worker: &Worker) -> f64 {
         let safety = &self.set.safety;
         let warmth = self.warmth(worker, self.now - safety.fall);
@@ -330,8 +330,7 @@
         (self.bears(worker) / heaviest).floor().clamp(1.0, self.set.fleet_size as f64)
     }
 
-    /// Whether we are one of them. All draw by one hash; who has more than the mean part of the traffic, by the
-    /// quotas, draws as much more of them, so that their sum stays: else the busy have no worker when all are cold.
+    /// Whether we are one of them, by one hash of all; the busy, by the quotas, stand ahead: the sum stays.
     fn steward(&self, worker: &Worker) -> bool {
         let (all, stewards) = (self.set.fleet_size as f64, self.stewards(worker));
         let usual = self.set.tenants.iter().map(|t| t.quota_per_s).sum::<f64>() / all;
@@ -504,7 +503,6 @@
             let most = (self.set.safety.ask_within / 2).max(PAUSE[0]);
             let pause = self.watch_pause.clamp(PAUSE[0], most);
             self.watch_pause = pause * 2;
-            // Who fails may have failed with all the others: as wide apart as at the start.
             let jitter = (self.rng.rand_float() * (pause / 2).max(self.round()) as f64) as Micros;
             out.push(Action::Timer { after: pause / 2 + jitter, token: WATCH_TOKEN });
             return;
@@ -697,8 +695,7 @@
         may && class.effect == Effect::Safe && job.tries.len() < limits.send_cap as usize
     }
 
-    /// Reports are old, and all schedulers act on the same ones; who does not start a job at once is full now. What
-    /// may be repeated goes elsewhere before it has stood there for long.
+    /// Reports are old, and all act on them: what may be repeated does not stand long at a full worker.
     fn call_off(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         let late =
@@ -1036,18 +1033,21 @@
     }
 
     /// A job that may not go out again, or that a free worker would hardly serve in time, nor late for some
-    /// worth, is answered at once: it would only take room.
+    /// worth, is answered at once: it would only take room, at its worker, too, from those that wait here.
     fn give_up(&mut self, out: &mut Vec<Action>) {
         let best = self.near.iter().map(|w| self.workers[*w].view.stretch).fold(f64::INFINITY, f64::min);
         let least = if self.set.tail_misses.is_some() { SURE } else { HOPE };
-        let hopeless = |id: &&JobId| {
-            let held = self.jobs.get(id).filter(|j| !j.any_out() && best.is_finite());
-            held.is_some_and(|j| {
-                let (class, (in_time, in_life)) = (&self.set.classes[j.class], self.chances(j, best, 0.0));
-                in_time.max(class.late_value * in_life) < least || !j.repeatable(class.effect, self.now)
-            })
+        let may = self.set.limits.cancel && self.set.tells_start;
+        let lost = |j: &Job| {
+            let (class, t) = (&self.set.classes[j.class], j.tries.iter().rfind(|t| t.out));
+            let stands = |t: &Try| may && !j.ended && !j.waiting && t.booked && t.started.is_none();
+            let held = t.map_or(j.waiting && best.is_finite(), stands);
+            let stretch = t.map_or(best, |t| self.pace(&self.workers[t.worker]).exp() * SECOND as f64);
+            let (in_time, in_life) = if held { self.chances(j, stretch, 0.0) } else { (1.0, 1.0) };
+            let bound = held && t.is_none() && !j.repeatable(class.effect, self.now);
+            in_time.max(class.late_value * in_life) < least || bound
         };
-        let lost: Vec<JobId> = self.waiting.iter().filter(hopeless).copied().collect();
+        let lost: Vec<JobId> = self.jobs.iter().filter(|j| lost(j.1)).map(|j| *j.0).collect();
         lost.into_iter().for_each(|id| self.answer(id, out));
     }
 
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -585,3 +585,21 @@
     d.pass(SECOND / 10);
     assert_eq!(d.out().len(), 8, "{:?}", d.out());
 }
+
+/// Guards against queues of what is late already: when six in ten workers were replaced, a hundred payments stood at
+/// the rest, ran late, and those that came behind them were late for it. One that runs is left alone.
+#[test]
+fn what_stands_at_a_worker_beyond_hope_makes_room_for_those_that_wait() {
+    let mut set = no_copies();
+    set.classes.iter_mut().for_each(|c| c.late_value = 0.0);
+    let mut d = Driver::with_workers(set, 1);
+    d.feed(&[job(1, UNSAFE), job(2, UNSAFE)]);
+    d.feed(&[started(2, 0)]);
+    assert_eq!(d.out().len(), 2);
+    d.pass(2 * SECOND);
+    assert!(!d.answered(1), "nobody waits for its room");
+    d.feed(&[job(3, UNSAFE)]);
+    d.pass(SECOND / 4);
+    assert!(d.answered(1) && !d.answered(2));
+    assert!(d.log.iter().any(|l| l.1 == Action::Cancel { job: JobId(1), round: 0 }));
+}
