Call off nothing where one is alone, and let patience and missed withdrawals wait longer

Seen on reading the whole change once more: - A Gearman function's fleet is told one scheduler and one job a worker, so nobody else fills its workers; yet one that asks later than about a millisecond after it was woken had its job taken away, up to three times (src/rules.rs, moves). Now only where fleet_size is above 1. - The quickest start of a zone was kept for ever (src/rules.rs, notice): one lucky start, or ways that grow, and all is called off before its word can be back. Now it grows by a 32nd with each start that is no quicker. - A withdrawal of a live attempt whose host refuses connections was dialled every 20 ms until the deadline, was dropped in silence where the host was listed as gone, and in silence where 1,024 waited (memory/core.rs, heard and withdraw_again). Errands stand in memory/core/errands.rs; the same lines were there twice.

Both module tests fail without their lines.

--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -1,6 +1,8 @@
 //! The owner of the decisions: one thread that takes inputs from the queue, steps the decision module, and
 //! posts what it decides. Only here does an upstream request end: with one verdict for each send.
 
+mod errands;
+
 use super::clock;
 use super::pool::{Need, Pool, Trust};
 use super::*;
@@ -10,10 +12,10 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::mpsc::RecvTimeoutError;
 
+use errands::Unsent;
+
 /// After the deadline, a stream that the decisions have not answered is answered here.
 const BACKSTOP: Micros = 5_000;
-/// How long a probe or a withdrawal may take.
-const ERRAND: Micros = 250_000;
 /// A process that is told to stop ends once no stream has come for so long.
 const QUIET: Micros = 400_000;
 /// What it takes on later than the first of these after that has its answer by the second, since soon after it the
@@ -23,9 +25,6 @@
 /// How long an id counts as used, and how many are kept.
 const USED_FOR: Micros = 60_000_000;
 const USED: usize = 8192;
-/// A withdrawal that found no connection is tried again after so long; so many of them are kept.
-const RETRY: Micros = 20_000;
-const UNSENT: usize = 1024;
 /// Inputs taken in before the next step.
 const BATCH: usize = 1024;
 /// Hosts remembered after they are gone.
@@ -149,8 +148,8 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     next_upstream: UpstreamId,
     due: BinaryHeap<Reverse<(Micros, Due)>>,
-    /// Withdrawals for which there was no connection, and when to try again.
-    unsent: VecDeque<(Micros, FleetId, WorkerId, Ask, Option<UpstreamId>)>,
+    /// Withdrawals that have not arrived, the next one due first.
+    unsent: VecDeque<Unsent>,
     actions: Vec<Action>,
     swept: Micros,
     arrived: Micros,
@@ -255,7 +254,7 @@
             let ready = f.stepped + f.set.tick;
             if f.events.is_empty() { f.timers.peek().map(|t| t.0.0.max(ready)) } else { Some(ready) }
         });
-        let unsent = self.unsent.front().map(|u| u.0);
+        let unsent = self.unsent.front().map(|u| u.due);
         let feeds = self.feeds.iter().filter_map(|f| f.due());
         steps.chain(feeds).chain(due).chain(unsent).fold(idle, Micros::min)
     }
@@ -487,26 +486,7 @@
             },
             Heard::Nothing => {}
         }
-        if let Some(gone) =
-            self.upstreams.get_mut(&id).filter(|u| u.link.is_none()).and_then(|u| u.withdraws.take())
-        {
-            // The host has not heard of it: until it has, the attempt counts as out.
-            let payload = self
-                .upstreams
-                .get(&gone)
-                .filter(|u| !u.ended)
-                .and_then(|u| self.streams.get(&u.stream))
-                .map(|s| s.payload.clone());
-            if let Some(payload) = payload.filter(|_| self.unsent.len() < UNSENT) {
-                self.unsent.push_back((
-                    clock::now() + RETRY,
-                    fleet,
-                    host,
-                    Ask::Withdraw(payload),
-                    Some(gone),
-                ));
-            }
-        }
+        self.withdraw_later(id);
         let lost = |u: &Upstream| u.link.is_none() && !u.taken && !u.ended;
         if self.upstreams.get(&id).is_some_and(lost) {
             self.end(id, Outcome::Reset, Gauge::default(), Vec::new());
@@ -593,71 +573,6 @@
         }
     }
 
-    /// Calls off an attempt whose stream lives on. It ends when the host has heard so and answered, since the next
-    /// one might be there before: one that the host has yet to take is withdrawn when it has.
-    fn call_off(&mut self, id: UpstreamId) {
-        let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended && !u.quit) else { return };
-        if up.link.as_ref().is_some_and(|l| l.resident()) {
-            return self.give_up(id, Outcome::Cancelled);
-        }
-        up.quit = true;
-        if up.taken {
-            self.withdraw(id);
-        }
-    }
-
-    fn withdraw(&mut self, id: UpstreamId) {
-        let Some(up) = self.upstreams.get(&id).filter(|u| !u.ended) else { return };
-        let Some(payload) = self.streams.get(&up.stream).map(|s| s.payload.clone()) else { return };
-        self.errand(up.fleet, up.host, Ask::Withdraw(payload), Some(Need::Errand), Some(id));
-    }
-
-    /// A probe had no answer.
-    fn unanswered(&mut self, fleet: FleetId, worker: WorkerId) {
-        let gauge = Gauge::default();
-        self.fleets[fleet].events.push(Event::Health { worker, ok: false, gauge });
-    }
-
-    /// Sends an upstream request that is not an attempt; without a need for a kept connection, on a new one.
-    fn errand(
-        &mut self,
-        fleet: FleetId,
-        host: WorkerId,
-        ask: Ask,
-        need: Option<Need>,
-        withdraws: Option<UpstreamId>,
-    ) {
-        let deadline = clock::now() + ERRAND;
-        let up = Upstream {
-            taken: true,
-            ended: true,
-            errand: Some(ask.clone()),
-            withdraws,
-            ..Upstream::new(fleet, host)
-        };
-        if self.launch(up, ask.clone(), deadline, need) {
-            return;
-        }
-        if matches!(ask, Ask::Probe) {
-            self.unanswered(fleet, host);
-        } else if self.unsent.len() < UNSENT {
-            self.unsent.push_back((clock::now() + RETRY, fleet, host, ask, withdraws));
-        }
-    }
-
-    /// Sends withdrawals that found no connection.
-    fn withdraw_again(&mut self, now: Micros) {
-        while self.unsent.front().is_some_and(|u| u.0 <= now) {
-            let Some((_, fleet, host, ask, gone)) = self.unsent.pop_front() else { return };
-            if gone.is_some_and(|id| self.upstreams.get(&id).is_none_or(|u| u.ended)) {
-                continue;
-            }
-            if self.fleets[fleet].hosts.get(&host).is_some_and(|h| h.entry.state != Listed::Gone) {
-                self.errand(fleet, host, ask, Some(Need::Errand), gone);
-            }
-        }
-    }
-
     /// Puts an upstream request on a connection, an idle one if there is one. False if there is none to have.
     fn launch(&mut self, mut up: Upstream, ask: Ask, deadline: Micros, need: Option<Need>) -> bool {
         let fleet = &mut self.fleets[up.fleet];
@@ -796,9 +711,10 @@
             Action::Cancel { job, round } => {
                 let out = self.streams.get(&job.0).and_then(|s| s.out);
                 if let Some(id) = out.filter(|id| self.upstreams[id].round == round) {
-                    match self.streams.get(&job.0).is_some_and(|s| !s.answered) {
-                        true => self.call_off(id),
-                        false => self.give_up(id, Outcome::Cancelled),
+                    if self.streams.get(&job.0).is_some_and(|s| !s.answered) {
+                        self.call_off(id);
+                    } else {
+                        self.give_up(id, Outcome::Cancelled);
                     }
                 }
             }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -667,7 +667,7 @@
                 }
                 worker.stood = 0.0;
                 let quickest = self.quickest.entry(worker.listed.zone).or_insert(now - t.sent);
-                *quickest = (*quickest).min(now - t.sent);
+                *quickest = (*quickest + *quickest / 32 + 1).min(now - t.sent); // it grows where ways do
                 worker.wait.add((now - t.sent) as f64, 1.0, now, WAIT_MEMORY);
                 if t.beside == 0.0 {
                     self.waits[worker.pool].add((now - t.sent) as f64, 1.0, now, WAIT_MEMORY);
@@ -688,10 +688,10 @@
         false
     }
 
-    /// Whether an attempt of a job that has not started may be called off, and the job go elsewhere.
+    /// Whether an attempt that has not started may be called off: where others fill workers, unseen by us.
     fn moves(&self, job: &Job) -> bool {
         let (limits, class) = (&self.set.limits, &self.set.classes[job.class]);
-        let may = limits.cancel && !limits.second_copies && self.set.tells_start;
+        let may = limits.cancel && !limits.second_copies && self.set.tells_start && self.set.fleet_size > 1;
         may && class.effect == Effect::Safe && job.tries.len() < limits.send_cap as usize
     }
 
--- a/tests/behaviour.rs
+++ b/tests/behaviour.rs
@@ -603,3 +603,34 @@
     assert!(d.answered(1) && !d.answered(2));
     assert!(d.log.iter().any(|l| l.1 == Action::Cancel { job: JobId(1), round: 0 }));
 }
+
+/// Guards against taking jobs from workers that nobody else fills: a Gearman worker, which has a scheduler to itself,
+/// asks for its job when it is ready, and had it taken away a millisecond after it was woken.
+#[test]
+fn a_scheduler_that_is_alone_calls_off_nothing() {
+    let mut set = no_copies();
+    set.fleet_size = 1;
+    let mut d = Driver::with_workers(set, 8);
+    d.feed(&[job(1, SAFE)]);
+    assert!(!d.pass(2 * SECOND).iter().any(|a| matches!(a, Action::Cancel { .. })));
+}
+
+/// Guards against a start that was quick once: where ways grow longer, jobs would be called off for ever before the
+/// word of their start can be back.
+#[test]
+fn patience_grows_with_the_way() {
+    let mut d = Driver::with_workers(no_copies(), 2);
+    let mut off = vec![];
+    for id in 0..200 {
+        d.feed(&[job(id, SAFE)]);
+        let way = if id < 20 { 3_000 } else { 12_000 };
+        let acts = d.pass(way);
+        off.push(acts.iter().any(|a| matches!(a, Action::Cancel { .. })));
+        for (job, round, _) in d.out() {
+            d.feed(&[started(job, round), verdict(job, round, Outcome::Ok)]);
+        }
+        d.pass(SECOND / 50);
+    }
+    assert!(off[20..40].contains(&true), "the longer way is more than its patience at first");
+    assert!(!off[150..].contains(&true), "{off:?}");
+}
