Take the clients' listener from $NODE_FD instead of binding it anew

Ruled out: the address itself (it is the one the configuration names) and SO_REUSEPORT (may sets it, the platform's socket does not).

A bad $NODE_FD is logged and the address bound anew. Once told to stop, a process whose listener was inherited takes no further connection after the one it may be waiting for, so that the next process gets them all.

--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -1,6 +1,7 @@
 //! The life of the process: start, ready, SIGHUP, SIGTERM, end.
 
 use super::config::{self, Config};
+use super::inherit;
 use super::log;
 use crate::memory::core::Core;
 use crate::memory::{FleetId, Inbox, Input, clock};
@@ -56,8 +57,7 @@
     core.handle(Input::Hosts(fleet, ListMode::Complete, known));
     may::go!(move || watch.run(&asked));
 
-    let listener = may::net::TcpListener::bind(config.listen)
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let (listener, inherited) = listen(&config)?;
     let listen = listener.local_addr().map_err(|e| e.to_string())?;
     let front = Arc::new(Front {
         site,
@@ -66,6 +66,7 @@
         table: Table::new(shares.downstream),
         bytes: AtomicUsize::new(shares.bytes),
         held: AtomicUsize::new(0),
+        inherited,
     });
     let accepting = front.clone();
     may::go!(move || front::accept(accepting, &listener));
@@ -106,6 +107,29 @@
     Ok(())
 }
 
+/// The clients' listener: the one that the platform holds, where `$NODE_FD` names it, else bound anew; and whether
+/// it was inherited, so that others may accept on it once this process stops.
+fn listen(config: &Config) -> Result<(may::net::TcpListener, bool), String> {
+    let told = std::env::var(inherit::VARIABLE).ok().filter(|told| !told.trim().is_empty());
+    match told.as_deref().map(inherit::check) {
+        Some(Ok((fd, address))) => {
+            if address != config.listen {
+                tracing::warn!(
+                    "{}: the inherited listener is at {address}, not at {}",
+                    config.name,
+                    config.listen
+                );
+            }
+            return Ok((inherit::adopt(fd), true));
+        }
+        Some(Err(why)) => tracing::error!("{}: {why}; the listener is bound anew", config.name),
+        None => {}
+    }
+    let listener = may::net::TcpListener::bind(config.listen)
+        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    Ok((listener, false))
+}
+
 /// The parts that signals reach.
 struct Parts {
     inbox: Inbox,
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -36,6 +36,8 @@
     pub held: AtomicUsize,
     /// Bytes that bodies may still take.
     pub bytes: AtomicUsize,
+    /// Whether the listener is the platform's, on which the next process accepts once this one stops.
+    pub inherited: bool,
 }
 
 /// The answer to a call-back.
@@ -90,7 +92,10 @@
 /// Accepts connections for ever.
 pub fn accept(front: Arc<Front>, listener: &TcpListener) {
     let table = front.table.clone();
-    table.accept(listener, move |stream, peer| serve(&front, stream, peer));
+    let (inbox, inherited) = (front.inbox.clone(), front.inherited);
+    let go_on = move || !(inherited && inbox.stopping().is_some());
+    table.accept(listener, go_on, move |stream, peer| serve(&front, stream, peer));
+    tracing::info!("no more connections are taken: the next process takes them on the inherited listener");
 }
 
 /// The way to a connection's writer.
--- a/dispatcher/src/wire/gearman/connection.rs
+++ b/dispatcher/src/wire/gearman/connection.rs
@@ -27,7 +27,7 @@
 /// Accepts connections for ever.
 pub fn accept(front: Arc<Gearman>, listener: &TcpListener) {
     let table = front.table.clone();
-    table.accept(listener, move |stream, address| serve(&front, stream, address));
+    table.accept(listener, || true, move |stream, address| serve(&front, stream, address));
 }
 
 fn serve(front: &Arc<Gearman>, stream: TcpStream, address: SocketAddr) {
--- a/dispatcher/src/wire/table.rs
+++ b/dispatcher/src/wire/table.rs
@@ -66,12 +66,13 @@
         least.is_some()
     }
 
-    /// Accepts connections for ever, each served by a coroutine of its own.
-    pub fn accept<S>(self: &Arc<Table>, listener: &TcpListener, serve: S)
+    /// Accepts connections, each served by a coroutine of its own, for as long as `go_on` says so after each one.
+    pub fn accept<G, S>(self: &Arc<Table>, listener: &TcpListener, go_on: G, serve: S)
     where
+        G: Fn() -> bool,
         S: Fn(TcpStream, SocketAddr) + Clone + Send + 'static,
     {
-        loop {
+        while go_on() {
             let Ok((stream, peer)) = listener.accept() else {
                 // Out of descriptors for a moment.
                 may::coroutine::sleep(Duration::from_millis(2));
