--- a/src/api.rs
+++ b/src/api.rs
@@ -524,6 +524,13 @@
     CancelledByClient(JobId),
     /// A timer set with [`Action::Timer`] fell due.
     Alarm(u64),
+    /// A worker is taken out by hand, or given back: while out, it counts as draining whatever the list says.
+    Suspend {
+        /// The worker, listed or not yet.
+        worker: WorkerId,
+        /// Out, or back.
+        out: bool,
+    },
     /// The answer to a probe.
     Health {
         /// The worker.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -187,7 +187,7 @@
     /// Books one event; true if a waiting job might leave because of it.
     fn take(&mut self, event: &Event, out: &mut Vec<Action>) -> bool {
         match event {
-            Event::Fleet { mode, entries } => self.fleet(*mode, entries, out),
+            Event::Fleet { .. } | Event::Suspend { .. } => self.listed(event, out),
             Event::Job(job) => self.arrive(job, out),
             Event::Accepted { job, .. } => self.stream(*job),
             Event::Notice { job, round, note } => return self.notice(*job, *round, *note),
@@ -497,7 +497,7 @@
         (self.set.fleet_size as Micros * CALL).min(self.set.safety.ask_within * 4 / 5)
     }
 
-    fn fleet(&mut self, mode: ListMode, entries: &[FleetEntry], out: &mut Vec<Action>) {
+    pub(crate) fn fleet(&mut self, mode: ListMode, entries: &[FleetEntry], out: &mut Vec<Action>) {
         if mode == ListMode::Broken {
             // Ask anew, ever more slowly so as not to crowd discovery, but within the time that binds us.
             let most = (self.set.safety.ask_within / 2).max(PAUSE[0]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -436,6 +436,8 @@
     pub(crate) watch_pause: Micros,
     /// The quickest start of a job in each zone.
     pub(crate) quickest: BTreeMap<ZoneId, Micros>,
+    /// Workers out by hand, with what the list said of them last, if it named them.
+    pub(crate) suspended: BTreeMap<WorkerId, Option<Listed>>,
 }
 
 impl Dispatcher {
@@ -486,10 +488,60 @@
             best_success: 1.0,
             watch_pause: 0,
             quickest: BTreeMap::new(),
+            suspended: BTreeMap::new(),
             set,
         }
     }
 
+    /// Takes news of the workers: the list, or one taken out by hand or given back.
+    pub(crate) fn listed(&mut self, event: &Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Fleet { mode, entries } => self.heed(*mode, entries, out),
+            Event::Suspend { worker, out: by_hand } => self.suspend(*worker, *by_hand, out),
+            _ => {}
+        }
+    }
+
+    /// Reads lines of the list through the workers out by hand: those are draining, whatever the list says.
+    fn heed(&mut self, mode: ListMode, entries: &[FleetEntry], out: &mut Vec<Action>) {
+        if self.suspended.is_empty() {
+            return self.fleet(mode, entries, out);
+        }
+        let mut heeded = entries.to_vec();
+        for e in &mut heeded {
+            if let Some(said) = self.suspended.get_mut(&e.worker) {
+                *said = Some(e.state);
+                e.state = if e.state == Listed::Ready { Listed::Draining } else { e.state };
+            }
+        }
+        self.fleet(mode, &heeded, out);
+    }
+
+    /// Takes a worker out by hand, or gives it back as the list last said; a second call of the same is nothing.
+    fn suspend(&mut self, worker: WorkerId, by_hand: bool, out: &mut Vec<Action>) {
+        let known = self.index.get(&worker).map(|&w| self.workers[w].listed.clone());
+        if by_hand {
+            if self.suspended.contains_key(&worker) {
+                return;
+            }
+            self.suspended.insert(worker, known.as_ref().map(|e| e.state));
+            known.into_iter().for_each(|e| self.heed(ListMode::Changes, &[e], out));
+        } else if let Some(said) = self.suspended.remove(&worker) {
+            if let (Some(mut e), Some(said)) = (known, said) {
+                e.state = said;
+                self.fleet(ListMode::Changes, &[e], out);
+            }
+        }
+    }
+
+    /// Whether the decisions avoid a worker now: by hand, or because it erred or fell silent of late.
+    pub fn avoids(&self, worker: WorkerId) -> bool {
+        let Some(&w) = self.index.get(&worker) else { return self.suspended.contains_key(&worker) };
+        let (w, now) = (&self.workers[w], self.now);
+        let later = |until: Option<Micros>| until.is_some_and(|until| until > now);
+        self.suspended.contains_key(&worker) || (w.ready && (later(w.doubt) || later(w.erred)))
+    }
+
     /// Takes new settings in the place of the old ones; classes and tenants must be as many.
     pub fn retell(&mut self, set: &Settings) -> Result<(), SettingsError> {
         set.check()?;
