Answer STATUS, METRICS, SUSPEND and RESTORE on the admin address, and keep the ban over upgrades

Change: wire/admin.rs listens where the configuration's admin or $NODE_ADMIN says (neither: none), 16 connections at most, shed oldest-unfinished first; a call must be whole 2 s after it began. STATUS reads whether any worker takes work and whether the process stops; METRICS renders figures counted where each event happens (core: taken, answered, refused, failed, left; upstream: written whole; the owner sets the list's figures every 0.1 s); SUSPEND and RESTORE change a small table (memory/hand.rs) that the owner compares each turn and tells the module of, answered once told or after 0.5 s. Ids never listed get -ERR. lifecycle/handover.rs keeps the table in $TMPDIR, written whole and renamed, and reads what the other process of an upgrade writes, so a call at either holds at both. The owner wakes every 0.25 s when idle (was 1 s) so the figures stay fresh.

--- a/crates/operation/src/figures.rs
+++ b/crates/operation/src/figures.rs
@@ -73,6 +73,10 @@
     pub fn taken(&self) {
         self.current.fetch_add(1, Ordering::Relaxed);
     }
+    /// Counts a stream that its client left: it is not current any more, and counts as nothing else.
+    pub fn left(&self) {
+        self.current.fetch_sub(1, Ordering::Relaxed);
+    }
     /// Counts a stream's end, of a class by its number, once; `counted` says whether it was counted as taken.
     pub fn ended(&self, class: usize, end: End, counted: bool) {
         if counted {
--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -16,6 +16,8 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    /// The admin address; else `$NODE_ADMIN`; neither, none.
+    admin: Option<String>,
     #[serde(default)]
     seed: serde_json::Value,
     #[serde(default)]
@@ -82,6 +84,8 @@
     pub listen: SocketAddr,
     /// Where the list of upstream hosts is to be had.
     pub discovery: SocketAddr,
+    /// Where the admin address listens, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// What the machine grants.
@@ -145,7 +149,7 @@
     pub log_form: Option<log::Form>,
 }
 
-/// Reads the files; `$NODE_NAME`, `$NODE_LISTEN` and `$NODE_DISCOVERY` fill its gaps.
+/// Reads the files; `$NODE_NAME`, `$NODE_LISTEN`, `$NODE_DISCOVERY` and `$NODE_ADMIN` fill its gaps.
 pub fn load(files: Files) -> Result<Config, String> {
     let env = |name: &str| std::env::var(name).ok();
     let path = files.config.clone().or_else(|| env("NODE_CONFIG").map(PathBuf::from));
@@ -174,6 +178,10 @@
     Ok(Config {
         listen: address("listen", file.listen, "NODE_LISTEN")?,
         discovery: address("discovery", file.discovery, "NODE_DISCOVERY")?,
+        admin: match file.admin.clone().or_else(|| env("NODE_ADMIN")).filter(|a| !a.trim().is_empty()) {
+            None => None,
+            told => Some(address("admin", told, "NODE_ADMIN")?),
+        },
         name: if file.name.is_empty() { env("NODE_NAME").unwrap_or_default() } else { file.name },
         seed,
         limits: file.limits,
--- /dev/null
+++ b/dispatcher/src/lifecycle/handover.rs
@@ -0,0 +1,105 @@
+//! What passes from one process to the next through `$TMPDIR`, the only disk that lasts, and only across an
+//! upgrade: the workers out by hand. A thread of its own writes the file when they change, and reads it when
+//! another process has written it, so that a call at either of two processes that serve side by side holds at both.
+
+use crate::memory::Inbox;
+use crate::memory::hand::{ByHand, Wanted};
+use roselock_operation::saved::Saved;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// How often the file is looked at.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Who the file belongs to.
+pub struct Owner {
+    /// The clients' address: the same for both processes of an upgrade.
+    pub site: String,
+    /// The dispatcher's name.
+    pub name: String,
+}
+
+/// The file's place.
+pub fn path(name: &str) -> PathBuf {
+    let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
+    std::env::temp_dir().join(format!("roselock-{name}.suspended"))
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Reads the file; what cannot be trusted is logged and left.
+pub fn read(path: &Path, owner: &Owner) -> Option<Wanted> {
+    let bytes = match std::fs::read(path) {
+        Ok(bytes) => bytes,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
+        Err(e) => {
+            tracing::warn!("{}: {} cannot be read, and is left: {e}", owner.name, path.display());
+            return None;
+        }
+    };
+    match Saved::decode(&bytes, &owner.site, &owner.name, now_ms()) {
+        Ok(saved) => Some(Wanted { out: saved.workers.into_iter().collect(), seq: saved.seq }),
+        Err(why) => {
+            tracing::warn!("{}: {} is left: {why}", owner.name, path.display());
+            None
+        }
+    }
+}
+
+/// Writes it whole under another name, then puts it in the place of the old one.
+fn write(path: &Path, owner: &Owner, wanted: &Wanted) -> std::io::Result<()> {
+    let saved = Saved {
+        site: owner.site.clone(),
+        name: owner.name.clone(),
+        seq: wanted.seq,
+        written_ms: now_ms(),
+        workers: wanted.out.iter().cloned().collect(),
+    };
+    let new = path.with_extension(format!("new-{}", std::process::id()));
+    std::fs::write(&new, saved.encode())?;
+    std::fs::rename(&new, path)
+}
+
+/// Keeps the file and what is wanted alike for as long as the process lives.
+pub fn keep(hand: Arc<ByHand>, owner: Owner, inbox: Inbox) {
+    let path = path(&owner.name);
+    std::thread::spawn(move || {
+        let mut written = hand.wanted();
+        let mut seen = stamp(&path);
+        let mut failing = false;
+        loop {
+            std::thread::sleep(LOOK);
+            let now = stamp(&path);
+            if now != seen {
+                seen = now;
+                if let Some(other) = read(&path, &owner) {
+                    written = other.clone();
+                    if hand.adopt(other) {
+                        tracing::info!("{}: workers out by hand as another process left them", owner.name);
+                        inbox.nudge();
+                    }
+                }
+            }
+            let wanted = hand.wanted();
+            if wanted.seq > written.seq {
+                match write(&path, &owner, &wanted) {
+                    Ok(()) => (written, seen, failing) = (wanted, stamp(&path), false),
+                    Err(e) if !failing => {
+                        failing = true;
+                        tracing::warn!("{}: {} cannot be written: {e}", owner.name, path.display());
+                    }
+                    Err(_) => {}
+                }
+            }
+        }
+    });
+}
+
+/// What tells that the file changed.
+fn stamp(path: &Path) -> Option<(SystemTime, u64)> {
+    let meta = std::fs::metadata(path).ok()?;
+    Some((meta.modified().ok()?, meta.len()))
+}
--- a/dispatcher/src/lifecycle/mod.rs
+++ b/dispatcher/src/lifecycle/mod.rs
@@ -1,6 +1,7 @@
 //! Start and stop.
 
 pub mod config;
+pub mod handover;
 pub mod inherit;
 pub mod log;
 pub mod problem;
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -1,10 +1,11 @@
 //! The life of the process: start, ready, SIGHUP, SIGTERM, end.
 
 use super::config::{self, Config};
-use super::inherit;
 use super::log;
-use crate::memory::core::Core;
+use super::{handover, inherit};
+use crate::memory::core::{Core, Operation};
 use crate::memory::{FleetId, Inbox, Input, clock};
+use crate::wire::admin::{self, Admin};
 use crate::wire::discovery::{Registry, Watch, hosts};
 use crate::wire::front::{self, Front};
 use crate::wire::gearman::{self, Gearman};
@@ -34,6 +35,7 @@
     let (inbox, outlet) = Inbox::new();
     let (ask, asked) = channel();
     let site = Arc::new(config.site.clone());
+    let operation = Operation::new(config.site.classes.names().to_vec());
     let shares = config.limits.shares(config.gearman.is_some() as usize);
     let dialer = HttpDialer {
         inbox: inbox.clone(),
@@ -41,10 +43,20 @@
         open: Arc::new(AtomicUsize::new(0)),
         most: shares.upstream,
         watch: ask.clone(),
+        figures: operation.figures.clone(),
     };
     let registry = Registry::new(config.discovery, ask);
     let flows = config.ipfix.as_ref().map(|file| ipfix::start(file, &site)).transpose()?;
-    let mut core = Core::new(inbox.clone(), outlet, flows);
+    let owner = handover::Owner { site: config.listen.to_string(), name: config.name.clone() };
+    if let Some(wanted) = handover::read(&handover::path(&owner.name), &owner) {
+        tracing::info!(
+            "{}: {} workers out by hand, as the process before left them",
+            owner.name,
+            wanted.out.len()
+        );
+        operation.hand.adopt(wanted);
+    }
+    let mut core = Core::new(inbox.clone(), outlet, flows, operation.clone());
     let fleet = core.add_fleet(site.settings.clone(), config.seed, Some(Box::new(dialer)))?;
     let mut watch = Watch {
         registry: registry.clone(),
@@ -98,6 +110,20 @@
         Ok::<_, String>(front)
     });
     let gearman = gearman.transpose()?;
+    if let Some(at) = config.admin {
+        let listener =
+            may::net::TcpListener::bind(at).map_err(|e| format!("cannot listen on {at} (admin): {e}"))?;
+        let listen = listener.local_addr().map_err(|e| e.to_string())?;
+        let admin = Arc::new(Admin {
+            figures: operation.figures.clone(),
+            hand: operation.hand.clone(),
+            inbox: inbox.clone(),
+            table: Table::new(admin::CONNECTIONS),
+        });
+        may::go!(move || admin::accept(admin, &listener));
+        tracing::info!("{}: admin on {listen}", config.name);
+    }
+    handover::keep(operation.hand.clone(), owner, inbox.clone());
     let name = config.name.clone();
     tracing::info!("{name}: serving on {listen}");
     heed_signals(signals, config, Parts { inbox, fleet, registry, gearman });
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -2,6 +2,7 @@
 //! posts what it decides. Only here does an upstream request end: with one verdict for each send.
 
 mod errands;
+mod operation;
 
 use super::clock;
 use super::pool::{Need, Pool, Trust};
@@ -13,6 +14,7 @@
 use std::sync::mpsc::RecvTimeoutError;
 
 use errands::Unsent;
+pub use operation::Operation;
 
 /// After the deadline, a stream that the decisions have not answered is answered here.
 const BACKSTOP: Micros = 5_000;
@@ -157,11 +159,22 @@
     feeds: Vec<Box<dyn Feed>>,
     /// The fleet that steps first: they take turns.
     turn: usize,
+    /// The figures and the workers out by hand; the change of those last told, the workers out, and when the
+    /// figures of the list were last set.
+    operation: Operation,
+    hand_seen: u64,
+    told: std::collections::BTreeSet<WorkerId>,
+    published: Micros,
 }
 
 impl Core {
     /// A core without fleets.
-    pub fn new(inbox: Inbox, outlet: Receiver<Input>, flows: Option<Box<dyn FlowSink>>) -> Core {
+    pub fn new(
+        inbox: Inbox,
+        outlet: Receiver<Input>,
+        flows: Option<Box<dyn FlowSink>>,
+        operation: Operation,
+    ) -> Core {
         let now = clock::now();
         Core {
             inbox,
@@ -180,6 +193,10 @@
             flows,
             feeds: Vec::new(),
             turn: 0,
+            operation,
+            hand_seen: 0,
+            told: Default::default(),
+            published: 0,
         }
     }
 
@@ -229,9 +246,11 @@
             self.withdraw_again(now);
             self.draw(now);
             // Fleets may share hosts: none has the first word on those that become free each time.
+            self.by_hand();
             self.turn = (self.turn + 1) % self.fleets.len();
             (self.turn..self.fleets.len()).chain(0..self.turn).for_each(|f| self.step(f, now));
             self.sweep(now);
+            self.publish(now);
             let parting = self.inbox.parting();
             if parting {
                 self.feeds.iter().for_each(|f| f.part());
@@ -248,7 +267,7 @@
 
     /// When there is something to do even without news.
     fn wake_at(&self) -> Micros {
-        let idle = clock::now() + if self.inbox.stopping().is_some() { 20_000 } else { 1_000_000 };
+        let idle = clock::now() + if self.inbox.stopping().is_some() { 20_000 } else { 250_000 };
         let due = self.due.peek().map(|Reverse((at, _))| *at);
         let steps = self.fleets.iter().filter_map(|f| {
             let ready = f.stepped + f.set.tick;
@@ -277,6 +296,7 @@
                 let Some(stream) = self.streams.get_mut(&id).filter(|s| !s.answered) else { return };
                 stream.answered = true;
                 let fleet = stream.fleet;
+                self.operation.figures.left();
                 self.record(id, Finish::Left, 0);
                 self.fleets[fleet].events.push(Event::CancelledByClient(JobId(id)));
                 self.forget(id);
@@ -314,7 +334,7 @@
         if let Some(at) = self.inbox.stopping().filter(|at| now - at > TAKES_ON) {
             new.deadline = new.deadline.min(at + OUT_BY);
             if new.deadline <= now {
-                return new.downstream.answer(Answer::Refused(OUT_BY - TAKES_ON), new.ran);
+                return self.refuse(new, Answer::Refused(OUT_BY - TAKES_ON));
             }
         }
         // A feed may be ahead of the news of a fleet, which then waits in the queue: it was posted first.
@@ -327,11 +347,12 @@
         // Two live streams of one id could not be told apart by the hosts' call-backs.
         // An id is new with every request: one that went to a host before would have its effect again.
         if self.calls.contains_key(&call) || self.used.contains(&call, now) {
-            return new.downstream.answer(Answer::Conflict, new.ran);
+            return self.refuse(new, Answer::Conflict);
         }
         if new.deadline <= now {
-            return new.downstream.answer(Answer::Failed, new.ran);
+            return self.refuse(new, Answer::Failed);
         }
+        self.operation.figures.taken();
         self.fleets[new.fleet].events.push(Event::Job(JobIn {
             job: JobId(new.id),
             class: new.class,
@@ -363,6 +384,12 @@
         self.streams.insert(new.id, stream);
     }
 
+    /// Answers a stream that is not taken on.
+    fn refuse(&self, new: NewStream, answer: Answer) {
+        self.operation.figures.ended(new.class.0 as usize, operation::end(&answer), false);
+        new.downstream.answer(answer, new.ran);
+    }
+
     /// Drops a stream for which nothing is owed and nothing is out.
     fn forget(&mut self, id: StreamId) {
         if let Some(stream) = self.streams.get(&id).filter(|s| s.answered && s.out.is_none()) {
@@ -390,6 +417,7 @@
             Answer::Failed | Answer::Conflict => (Finish::Failed, 0),
             Answer::TimedOut => (Finish::TimedOut, 0),
         };
+        self.operation.figures.ended(stream.class.0 as usize, operation::end(&answer), true);
         stream.downstream.answer(answer, ran);
         self.record(id, finish, sent);
         self.forget(id);
@@ -575,11 +603,13 @@
 
     /// Puts an upstream request on a connection, an idle one if there is one. False if there is none to have.
     fn launch(&mut self, mut up: Upstream, ask: Ask, deadline: Micros, need: Option<Need>) -> bool {
+        let runs = matches!(ask, Ask::Run(_)).then(|| self.streams.get(&up.stream)).flatten();
+        let class = runs.map(|s| s.class.0 as usize);
         let fleet = &mut self.fleets[up.fleet];
         let now = clock::now();
         let id = self.next_upstream;
         let connect_by = now + fleet.set.limits.connect_timeout;
-        let request = UpstreamRequest { id, ask, connect_by, deadline };
+        let request = UpstreamRequest { id, ask, connect_by, deadline, class };
         let Some(host) = fleet.hosts.get_mut(&up.host) else { return false };
         let link = match (&host.link, host.endpoint) {
             (Some(link), _) => Some(link.clone()),
@@ -615,6 +645,7 @@
     // ---- Hosts ----
 
     fn list(&mut self, f: FleetId, mode: ListMode, hosts: Vec<ListedHost>) {
+        self.operation.hand.listed(hosts.iter().map(|h| h.uid.as_str()));
         // What a host that came to us took no notice of before it left has not run.
         for listed in hosts.iter().filter(|h| h.entry.state == Listed::Gone && h.endpoint.is_none()) {
             let here = |u: &Upstream| u.fleet == f && u.host == listed.entry.worker && !u.taken && !u.ended;
@@ -816,7 +847,7 @@
         let options: roselock::settings::Options = serde_json::from_str(options).expect("options");
         let set = options.site().expect("settings").settings;
         let (inbox, outlet) = Inbox::new();
-        let mut core = Core::new(inbox.clone(), outlet, None);
+        let mut core = Core::new(inbox.clone(), outlet, None, Operation::new(vec!["look".into()]));
         assert_eq!(core.add_fleet(set.clone(), 7, None), Ok(0));
         let (id, deadline) = (inbox.stream_id(), clock::now() + 5_000_000);
         core.add_feed(Box::new(One(Mutex::new(Some(NewStream {
--- /dev/null
+++ b/dispatcher/src/memory/core/operation.rs
@@ -0,0 +1,64 @@
+//! What the owner does for daily operation: it tells the decisions of workers out by hand, and keeps the figures
+//! that only it knows (the list, and what the decisions avoid) where the admin address reads them.
+
+use super::*;
+use crate::memory::hand::ByHand;
+use roselock_operation::figures::{End, Figures};
+
+/// The figures of the list are set anew at most so often, in microseconds: a reader may see them 0.5 s old.
+const PUBLISH: Micros = 100_000;
+
+/// What the admin address shares with the owner.
+#[derive(Clone)]
+pub struct Operation {
+    /// The figures of `METRICS`.
+    pub figures: Arc<Figures>,
+    /// Workers out by hand.
+    pub hand: Arc<ByHand>,
+}
+
+impl Operation {
+    /// For classes of these names.
+    pub fn new(classes: Vec<String>) -> Operation {
+        Operation { figures: Arc::new(Figures::new(classes)), hand: Arc::default() }
+    }
+}
+
+/// How an answer counts.
+pub(super) fn end(answer: &Answer) -> End {
+    match answer {
+        Answer::Served(_) => End::Answered,
+        Answer::Refused(_) => End::Deferred,
+        Answer::Conflict | Answer::Failed | Answer::TimedOut => End::Errored,
+    }
+}
+
+impl Core {
+    /// Tells each fleet's decisions what changed of the workers out by hand since the last time.
+    pub(super) fn by_hand(&mut self) {
+        let Some((generation, out)) = self.operation.hand.take(self.hand_seen) else { return };
+        for fleet in &mut self.fleets {
+            let taken = out.difference(&self.told).map(|w| Event::Suspend { worker: *w, out: true });
+            let back = self.told.difference(&out).map(|w| Event::Suspend { worker: *w, out: false });
+            fleet.events.extend(taken.chain(back));
+        }
+        (self.told, self.hand_seen, self.published) = (out, generation, 0);
+        self.operation.hand.told(generation);
+    }
+
+    /// Sets the figures of the list: the workers listed, and those of them that the decisions avoid.
+    pub(super) fn publish(&mut self, now: Micros) {
+        if now - self.published < PUBLISH {
+            return;
+        }
+        self.published = now;
+        let (mut size, mut avoided) = (0, 0);
+        for fleet in &self.fleets {
+            for host in fleet.hosts.values().filter(|h| h.entry.state != Listed::Gone) {
+                size += 1;
+                avoided += fleet.dispatcher.avoids(host.entry.worker) as usize;
+            }
+        }
+        self.operation.figures.cluster(size, avoided);
+    }
+}
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod clock;
 pub mod core;
+pub mod hand;
 pub mod pool;
 
 use roselock::{ClassId, FleetEntry, Gauge, KeyId, ListMode, Micros, Outcome, Settings, TenantId, WorkerId};
@@ -185,6 +186,8 @@
     pub connect_by: Micros,
     /// When it is given up.
     pub deadline: Micros,
+    /// The class of the stream that it runs, if it runs one: it is counted once written whole.
+    pub class: Option<usize>,
 }
 
 /// A connection to an upstream host. Posts only; never waits.
@@ -348,6 +351,10 @@
         let _ = self.shared.stop.compare_exchange(0, clock::now(), Ordering::SeqCst, Ordering::SeqCst);
         self.post(Input::Stop);
     }
+    /// Wakes the owner, if there is room in the queue: where there is none, it is awake anyway. Never waits.
+    pub fn nudge(&self) {
+        let _ = self.queue.try_send(Input::Feed);
+    }
     /// When it was told to stop.
     pub fn stopping(&self) -> Option<Micros> {
         Some(self.shared.stop.load(Ordering::SeqCst)).filter(|at| *at != 0)
--- /dev/null
+++ b/dispatcher/src/wire/admin.rs
@@ -0,0 +1,105 @@
+//! The admin address: one line a call, one line an answer (`METRICS`: the figures, then a line `.`). Answers come
+//! from shared figures and never wait behind client traffic or the owner's queue; a change waits for the owner
+//! at most [`TOLD_WITHIN`].
+
+use super::http::by;
+use super::socket::Socket;
+use super::table::{Rank, Table};
+use crate::memory::hand::{ByHand, Done};
+use crate::memory::{Inbox, clock};
+use may::net::{TcpListener, TcpStream};
+use roselock::{Micros, SECOND};
+use roselock_operation::call::{self, Call, Lines, Next};
+use roselock_operation::figures::Figures;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Most admin connections at once; at the bound, the oldest that has not finished a call goes first. They come
+/// out of the descriptors kept in reserve.
+pub const CONNECTIONS: usize = 16;
+/// A call has to be whole so long after the connection came or the call began.
+const CALL_WITHIN: Micros = 2 * SECOND;
+/// A connection may wait so long for its next call.
+const IDLE: Micros = 10 * SECOND;
+/// An answer may take so long to go out.
+const TRANSFER: Micros = SECOND;
+/// A change is answered once the owner has told the decisions, or after so long: it takes effect all the same.
+const TOLD_WITHIN: Micros = SECOND / 2;
+
+/// What the admin address sees and steers.
+pub struct Admin {
+    /// The figures of `METRICS`.
+    pub figures: Arc<Figures>,
+    /// Workers out by hand.
+    pub hand: Arc<ByHand>,
+    /// Whether the process can serve, and the way to wake the owner.
+    pub inbox: Inbox,
+    /// Its connections.
+    pub table: Arc<Table>,
+}
+
+/// Accepts admin connections for ever.
+pub fn accept(admin: Arc<Admin>, listener: &TcpListener) {
+    let table = admin.table.clone();
+    table.accept(listener, || true, move |stream, _| serve(&admin, stream));
+}
+
+fn serve(admin: &Admin, stream: TcpStream) {
+    let socket = Socket::new(stream);
+    let mut lines = Lines::default();
+    let mut buffer = [0; 512];
+    let (mut spare, mut due) = (admin.table.spare(Rank::Stranger, &socket), by(CALL_WITHIN));
+    loop {
+        loop {
+            let answer = match lines.line() {
+                Next::Line(line) => answer(admin, line),
+                Next::TooLong => call::Wrong::TooLong.answer().to_owned() + "\n",
+                Next::More => break,
+            };
+            if socket.write(&[answer.as_bytes()], by(TRANSFER)).is_err() || !spare.keep() {
+                return;
+            }
+            (spare, due) = (admin.table.spare(Rank::Idle, &socket), by(IDLE));
+        }
+        let partial = lines.partial();
+        match socket.read(&mut buffer, due) {
+            Ok(0) | Err(_) => return,
+            Ok(read) => lines.push(&buffer[..read]),
+        }
+        if !partial {
+            due = due.min(by(CALL_WITHIN));
+        }
+    }
+}
+
+/// The answer to one line, with its end.
+fn answer(admin: &Admin, line: &[u8]) -> String {
+    let call = match call::parse(line) {
+        Ok(call) => call,
+        Err(wrong) => return wrong.answer().to_owned() + "\n",
+    };
+    match call {
+        Call::Status if admin.inbox.stopping().is_some() => "-ERR not ready: stopping\n".to_owned(),
+        Call::Status if !admin.inbox.able() => "-ERR not ready: no worker takes work yet\n".to_owned(),
+        Call::Status => "+OK ready\n".to_owned(),
+        Call::Metrics => format!("+OK\n{}\n.\n", admin.figures.render()),
+        Call::Suspend(id) => change(admin, id, true),
+        Call::Restore(id) => change(admin, id, false),
+    }
+}
+
+fn change(admin: &Admin, id: &str, out: bool) -> String {
+    let (done, undone) = if out { ("out", "was out") } else { ("back", "was not out") };
+    match admin.hand.set(id, out) {
+        Err(why) => format!("-ERR {id}: {why}\n"),
+        Ok(Done::Already) => format!("+OK {id} {undone}\n"),
+        Ok(Done::Changed(generation)) => {
+            admin.inbox.nudge();
+            let until = by(TOLD_WITHIN);
+            while admin.hand.applied() < generation && clock::now() < until {
+                may::coroutine::sleep(Duration::from_millis(1));
+            }
+            format!("+OK {id} {done}\n")
+        }
+    }
+}
--- a/dispatcher/src/wire/mod.rs
+++ b/dispatcher/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! What is spoken on the wire.
 
+pub mod admin;
 pub mod callbacks;
 pub mod discovery;
 pub mod front;
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -6,6 +6,7 @@
 use may::sync::mpsc::{Receiver, Sender, channel};
 use roselock::settings::Site;
 use roselock::{Gauge, Outcome};
+use roselock_operation::figures::Figures;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -22,6 +23,8 @@
     pub most: usize,
     /// Wakes the watch on the list.
     pub watch: Sender<()>,
+    /// Counts what is written whole.
+    pub figures: Arc<Figures>,
 }
 
 impl Dialer for HttpDialer {
@@ -34,6 +37,7 @@
             inbox: self.inbox.clone(),
             site: self.site.clone(),
             reader: None,
+            figures: self.figures.clone(),
         };
         self.open.fetch_add(1, Ordering::SeqCst);
         let open = self.open.clone();
@@ -86,6 +90,7 @@
     inbox: Inbox,
     site: Arc<Site>,
     reader: Option<(Socket, Reader)>,
+    figures: Arc<Figures>,
 }
 
 impl Connection {
@@ -128,6 +133,7 @@
         if write(socket, self.endpoint, request).is_err() {
             return (unsent(Outcome::ConnectFailed), LinkIs::Closed);
         }
+        request.class.iter().for_each(|class| self.figures.sent(*class));
         match reader.response(request.deadline) {
             Ok(answer) => {
                 let close = answer.close || !reader.is_empty();
@@ -231,6 +237,7 @@
             open: Arc::default(),
             most: 9,
             watch: channel().0,
+            figures: Arc::new(Figures::new(vec!["pay".into()])),
         };
         let by = clock::now() + 20_000_000;
         let request = |id| {
@@ -241,7 +248,7 @@
                 target: 5..6,
                 ..Payload::default()
             }));
-            UpstreamRequest { id, ask, connect_by: by, deadline: by }
+            UpstreamRequest { id, ask, connect_by: by, deadline: by, class: None }
         };
         let heard = || match outlet.recv_timeout(Duration::from_secs(20)) {
             Ok(Input::Upstream(id, heard, link)) => (id, heard, link),
