Answer METRICS with the figures' line alone, and give the sum of the sends at the top

Ruled out: the counting itself (the JSON, read at once after the change, matched but for sends).

Change: METRICS answers the JSON line, then a line "."; the object carries "sends" at the top (the sum of the classes') beside each class's.

--- a/crates/operation/src/figures.rs
+++ b/crates/operation/src/figures.rs
@@ -52,6 +52,8 @@
 #[derive(Serialize)]
 struct All<'a> {
     transactions: BTreeMap<&'a str, Shown>,
+    /// Of all classes.
+    sends: u64,
     current: i64,
     cluster_size: u64,
     cluster_unhealthy: u64,
@@ -113,8 +115,10 @@
             };
             (name.as_str(), shown)
         });
+        let transactions: BTreeMap<&str, Shown> = transactions.collect();
         let all = All {
-            transactions: transactions.collect(),
+            sends: transactions.values().map(|shown| shown.sends).sum(),
+            transactions,
             current: self.current.load(Ordering::Relaxed).max(0),
             cluster_size: get(&self.cluster_size),
             cluster_unhealthy: get(&self.cluster_unhealthy),
@@ -144,7 +148,7 @@
                 "look": {"answered": 1, "deferred": 0, "errored": 0, "sends": 0},
                 "pay": {"answered": 0, "deferred": 1, "errored": 1, "sends": 2},
             },
-            "current": 1, "cluster_size": 5, "cluster_unhealthy": 2,
+            "sends": 2, "current": 1, "cluster_size": 5, "cluster_unhealthy": 2,
         });
         assert_eq!(shown, want);
     }
--- a/dispatcher/src/wire/admin.rs
+++ b/dispatcher/src/wire/admin.rs
@@ -82,7 +82,7 @@
         Call::Status if admin.inbox.stopping().is_some() => "-ERR not ready: stopping\n".to_owned(),
         Call::Status if !admin.inbox.able() => "-ERR not ready: no worker takes work yet\n".to_owned(),
         Call::Status => "+OK ready\n".to_owned(),
-        Call::Metrics => format!("+OK\n{}\n.\n", admin.figures.render()),
+        Call::Metrics => format!("{}\n.\n", admin.figures.render()),
         Call::Suspend(id) => change(admin, id, true),
         Call::Restore(id) => change(admin, id, false),
     }
