Stories of the admin address, its figures, and a ban that passes to the next process

Four loopback stories with a scripted discovery and scripted hosts (dispatcher/tests/operation.rs): - every call is answered, a wrong one (unknown verb, empty, too many words, a bad id, 300 bytes, bytes that are not text) gets -ERR and the connection stays usable; a call in pieces is one; STATUS says no until a worker is listed ready; an id never listed gets -ERR; - the figures follow known traffic: served, failed (an id used before), sends by class and at the top, current, the list's size with a draining worker that is not counted as avoided; - a worker out by hand gets nothing while the list says ready, a second SUSPEND undoes nothing, RESTORE ends the ban; - the ban passes through $TMPDIR to a second process, a RESTORE there holds at the first, and a cut, foreign or other dispatcher's file is left with a line in the log.

--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -101,7 +101,76 @@
     pub gearman_file: Option<std::path::PathBuf>,
     pub http: SocketAddr,
     pub gearman: Option<SocketAddr>,
+    pub admin: Option<SocketAddr>,
+    /// Its `$TMPDIR`.
+    pub tmp: std::path::PathBuf,
     log: std::sync::Mutex<Receiver<String>>,
+    /// What was read of the log.
+    history: Vec<String>,
+}
+
+/// How a story starts a dispatcher.
+pub struct Start<'a> {
+    pub memory: usize,
+    pub sockets: usize,
+    pub discovery: SocketAddr,
+    pub settings: &'a str,
+    pub known: &'a str,
+    pub gearman: Option<&'a str>,
+    pub collector: Option<SocketAddr>,
+    /// With an admin address.
+    pub admin: bool,
+    /// Its `$TMPDIR`, where another shares it; else one of its own.
+    pub tmp: Option<std::path::PathBuf>,
+    /// The clients' listener, handed down as descriptor 3.
+    pub inherit: Option<TcpListener>,
+}
+
+impl<'a> Start<'a> {
+    pub fn new(discovery: SocketAddr, settings: &'a str, known: &'a str) -> Start<'a> {
+        Start {
+            memory: 192,
+            sockets: 1024,
+            discovery,
+            settings,
+            known,
+            gearman: None,
+            collector: None,
+            admin: false,
+            tmp: None,
+            inherit: None,
+        }
+    }
+}
+
+/// A caller at the admin address.
+pub struct Admin(BufReader<TcpStream>);
+
+impl Admin {
+    pub fn new(at: SocketAddr) -> Admin {
+        Admin(BufReader::new(connect(at)))
+    }
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.0.get_mut().write_all(bytes).expect("it is written");
+    }
+    /// The next line, without its end; none at the end.
+    pub fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        (self.0.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
+    }
+    /// A call and its answer: one line, or for METRICS the lines up to `.`.
+    pub fn call(&mut self, line: &str) -> Vec<String> {
+        self.send(format!("{line}\n").as_bytes());
+        let first = self.line().expect("an answer");
+        if !line.eq_ignore_ascii_case("metrics") || first.starts_with("-ERR") {
+            return vec![first];
+        }
+        let mut lines = vec![first];
+        while let Some(line) = self.line().filter(|l| l != ".") {
+            lines.push(line);
+        }
+        lines
+    }
 }
 
 impl Dispatcher {
@@ -128,6 +197,12 @@
         gearman: Option<&str>,
         collector: Option<SocketAddr>,
     ) -> Dispatcher {
+        let start = Start { memory, sockets, gearman, collector, ..Start::new(discovery, settings, known) };
+        Dispatcher::launch(start)
+    }
+
+    /// One as the story says.
+    pub fn launch(start: Start) -> Dispatcher {
         let dir = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let unique = bind().local_addr().expect("an address").port();
         let file = |name: &str, text: &str| {
@@ -135,19 +210,38 @@
             std::fs::write(&path, text).expect("a file");
             path
         };
+        let (memory, sockets, discovery) = (start.memory, start.sockets, start.discovery);
+        let listen =
+            start.inherit.as_ref().map_or("127.0.0.1:0".to_owned(), |l| l.local_addr().unwrap().to_string());
+        let admin = if start.admin { r#""admin":"127.0.0.1:0","# } else { "" };
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",{admin}
+            "limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},"known":{},"settings":{}}}"#,
+            start.known, start.settings
         );
         let mut command = Command::new(env!("CARGO_BIN_EXE_roselock"));
         let config = file("config.json", &config);
         command.arg("serve").arg("--config").arg(&config).stderr(Stdio::piped());
+        // Each its own: what one leaves there is not another's.
+        let tmp = start.tmp.unwrap_or_else(|| {
+            let tmp = dir.join(format!("{}-{unique}-tmp", std::process::id()));
+            std::fs::create_dir_all(&tmp).expect("a folder");
+            tmp
+        });
+        command.env("TMPDIR", &tmp);
+        if let Some(listener) = start.inherit {
+            use command_fds::{CommandFdExt, FdMapping};
+            let mapping = FdMapping { parent_fd: listener.into(), child_fd: 3 };
+            command.fd_mappings(vec![mapping]).expect("descriptor 3");
+            command.env("NODE_FD", "3");
+        }
+        let gearman = start.gearman;
         let gearman_file = gearman.map(|functions| {
             let path = file("gearman.toml", &format!("listen = \"127.0.0.1:0\"\n{functions}"));
             command.arg("--gearman").arg(&path);
             path
         });
-        if let Some(collector) = collector {
+        if let Some(collector) = start.collector {
             let text = format!("collector = \"{collector}\"\nobservation_domain = 7\n");
             command.arg("--ipfix").arg(file("ipfix.toml", &text));
         }
@@ -156,15 +250,33 @@
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         std::thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
         let nowhere = bind().local_addr().expect("an address");
-        let mut started =
-            Dispatcher { child, config, gearman_file, http: nowhere, gearman: None, log: log.into() };
+        let mut started = Dispatcher {
+            child,
+            config,
+            gearman_file,
+            http: nowhere,
+            gearman: None,
+            admin: None,
+            tmp,
+            log: log.into(),
+            history: Vec::new(),
+        };
         if gearman.is_some() {
             started.gearman = Some(started.logged("Gearman on "));
         }
+        if start.admin {
+            started.admin = Some(started.logged("admin on "));
+        }
         started.http = started.logged("serving on ");
         started
     }
 
+    /// One call on the admin address, on a connection of its own: the lines of its answer, up to `.` for METRICS.
+    pub fn call(&self, line: &str) -> Vec<String> {
+        let mut admin = Admin::new(self.admin.expect("the admin address is on"));
+        admin.call(line)
+    }
+
     fn logged(&mut self, what: &str) -> SocketAddr {
         self.logs(what).parse().expect("an address")
     }
@@ -174,12 +286,19 @@
         loop {
             let line = self.log.get_mut().expect("not poisoned").recv_timeout(PATIENCE);
             let line = line.unwrap_or_else(|e| panic!("{what:?} was not logged: {e}"));
+            self.history.push(line.clone());
             if let Some((_, rest)) = line.split_once(what) {
                 return rest.trim().to_owned();
             }
         }
     }
 
+    /// The same, of all it has logged since it started.
+    pub fn has_logged(&mut self, what: &str) -> String {
+        let before = self.history.iter().find_map(|line| line.split_once(what).map(|(_, rest)| rest.trim()));
+        before.map(str::to_owned).unwrap_or_else(|| self.logs(what))
+    }
+
     fn signal(&self, name: &str) {
         let kill = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(kill.expect("kill runs").success());
--- /dev/null
+++ b/dispatcher/tests/operation.rs
@@ -0,0 +1,183 @@
+//! Stories of daily operation: the admin address, its figures, workers out by hand, and the hand-over of an
+//! upgrade on an inherited listener.
+
+mod common;
+use common::*;
+use rstest::rstest;
+use std::time::Instant;
+
+const DONE: &str = r#""state":"done","result":"r""#;
+
+/// A dispatcher with an admin address that knows these lines of the list.
+fn started(lines: &[String]) -> (Discovery, Dispatcher, String) {
+    let discovery = Discovery::start();
+    let known = list(7, true, lines);
+    let settings = settings(0.0, 2.0);
+    let start = Start { admin: true, ..Start::new(discovery.at, &settings, &known) };
+    let dispatcher = Dispatcher::launch(start);
+    (discovery, dispatcher, settings)
+}
+
+/// Tells a list by the watch, and waits until the dispatcher has read it.
+fn tell(discovery: &Discovery, rev: u64, lines: &[String]) {
+    discovery.lines.send(Some(list(rev, false, lines))).expect("a watch");
+    discovery.lines.send(None).expect("a watch");
+    let after = format!("GET /registry/instances?watch=1&after={rev} HTTP/1.1");
+    while discovery.asked.recv_timeout(PATIENCE).expect("the watch asks again") != after {}
+}
+
+fn figures(dispatcher: &Dispatcher) -> serde_json::Value {
+    let lines = dispatcher.call("METRICS");
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    serde_json::from_str(&lines[0]).expect("a JSON object")
+}
+
+/// Asks until a figure is as wanted: the figures of the list are set anew every 0.1 s.
+fn until(dispatcher: &Dispatcher, what: &str, wanted: serde_json::Value) {
+    let since = Instant::now();
+    let mut seen = figures(dispatcher);
+    while seen.pointer(what) != Some(&wanted) {
+        assert!(since.elapsed() < PATIENCE, "{what} is {:?}, not {wanted}", seen.pointer(what));
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        seen = figures(dispatcher);
+    }
+}
+
+/// Serves one request of a client by a host: 202, then the call-back.
+fn serve(dispatcher: &Dispatcher, host: &Host, id: &str) {
+    let mut client = dispatcher.ask(id, "look", 10.0);
+    let (_peer, request) = host.take();
+    assert_eq!(request.header("x-call-id"), Some(id));
+    assert_eq!(dispatcher.call_back(id, host.uid, DONE), 204);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+}
+
+/// Guards against an admin connection that a wrong call ends or stalls, and against a yes before a worker is listed.
+#[rstest]
+fn every_call_is_answered_and_a_wrong_one_leaves_the_connection_usable() {
+    let host = Host::new("s-1");
+    let (discovery, dispatcher, _) = started(&[]);
+    let mut admin = Admin::new(dispatcher.admin.expect("on"));
+    assert_eq!(admin.call("STATUS"), ["-ERR not ready: no worker takes work yet"]);
+    for wrong in ["HELLO", "", "STATUS now", "SUSPEND", "SUSPEND a/b", &"x".repeat(300)] {
+        let answer = admin.call(wrong);
+        assert!(answer[0].starts_with("-ERR "), "{wrong:?}: {answer:?}");
+    }
+    admin.send(b"\xff\x00\r\n");
+    assert!(admin.line().expect("an answer").starts_with("-ERR not text"));
+    // A line that comes in pieces is one call.
+    admin.send(b"STA");
+    admin.send(b"TUS\r\n");
+    assert!(admin.line().expect("an answer").starts_with("-ERR not ready"));
+    tell(&discovery, 8, &[host.line("ready")]);
+    assert_eq!(admin.call("status"), ["+OK ready"]);
+    assert_eq!(admin.call("SUSPEND s-9"), ["-ERR s-9: never listed"]);
+    assert_eq!(admin.call("RESTORE s-1"), ["+OK s-1 was not out"]);
+}
+
+/// Guards against figures that are counted elsewhere than where the event happens, or not at all.
+#[rstest]
+fn the_figures_follow_known_traffic() {
+    // The third is listed as draining: in the list, and not avoided by choice.
+    let (a, c) = (Host::new("s-1"), Host::new("s-3"));
+    let (_discovery, dispatcher, _) = started(&[a.line("ready"), c.line("draining")]);
+    until(&dispatcher, "/cluster_size", 2.into());
+    for id in ["c1", "c2", "c3"] {
+        serve(&dispatcher, &a, id);
+    }
+    // One whose id went to a host before fails at once; one that is out is current.
+    let mut again = dispatcher.ask("c1", "look", 10.0);
+    assert_eq!(again.read().expect("an answer").status(), 409);
+    let mut open = dispatcher.ask("c4", "pay", 10.0);
+    let (_peer, _) = a.take();
+    let shown = figures(&dispatcher);
+    assert_eq!(shown["transactions"]["look"]["answered"], 3, "{shown}");
+    assert_eq!(shown["transactions"]["look"]["errored"], 1, "{shown}");
+    assert_eq!(shown["transactions"]["look"]["sends"], 3, "{shown}");
+    assert_eq!(shown["transactions"]["pay"]["sends"], 1, "{shown}");
+    assert_eq!((&shown["sends"], &shown["current"]), (&4.into(), &1.into()), "{shown}");
+    assert_eq!((&shown["cluster_size"], &shown["cluster_unhealthy"]), (&2.into(), &0.into()));
+    assert_eq!(dispatcher.call_back("c4", "s-1", DONE), 204);
+    assert_eq!(open.read().expect("an answer").status(), 200);
+    until(&dispatcher, "/transactions/pay/answered", 1.into());
+    until(&dispatcher, "/current", 0.into());
+}
+
+/// Guards against a ban that the list lifts, that a repeated call undoes, or that a call back does not end.
+#[rstest]
+fn a_worker_out_by_hand_gets_nothing_new_until_it_is_back() {
+    let (a, b) = (Host::new("s-1"), Host::new("s-2"));
+    let (discovery, dispatcher, _) = started(&[a.line("ready"), b.line("ready")]);
+    assert_eq!(dispatcher.call("SUSPEND s-1"), ["+OK s-1 out"]);
+    assert_eq!(dispatcher.call("SUSPEND s-1"), ["+OK s-1 was out"]);
+    until(&dispatcher, "/cluster_unhealthy", 1.into());
+    tell(&discovery, 8, &[a.line("ready"), b.line("ready")]);
+    for id in ["c1", "c2", "c3", "c4"] {
+        serve(&dispatcher, &b, id);
+    }
+    assert_eq!(dispatcher.call("RESTORE s-1"), ["+OK s-1 back"]);
+    assert_eq!(dispatcher.call("SUSPEND s-2"), ["+OK s-2 out"]);
+    for id in ["c5", "c6"] {
+        serve(&dispatcher, &a, id);
+    }
+}
+
+/// Guards against a ban that ends with the process, and against a file that is trusted blindly.
+#[rstest]
+fn the_ban_passes_to_the_next_process_and_a_spoilt_file_is_left() {
+    let (a, b) = (Host::new("s-1"), Host::new("s-2"));
+    let (discovery, old, settings) = started(&[a.line("ready"), b.line("ready")]);
+    assert_eq!(old.call("SUSPEND s-1"), ["+OK s-1 out"]);
+    let known = list(7, true, &[a.line("ready"), b.line("ready")]);
+    let start = |tmp| Start { admin: true, tmp: Some(tmp), ..Start::new(discovery.at, &settings, &known) };
+    // The file is written within 0.1 s of the change.
+    let file = old.tmp.join("roselock-n0.suspended");
+    let since = Instant::now();
+    while !file.exists() {
+        assert!(since.elapsed() < PATIENCE, "no file");
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+    let new = Dispatcher::launch(start(old.tmp.clone()));
+    until(&new, "/cluster_unhealthy", 1.into());
+    serve(&new, &b, "c1");
+    // A call at the new process holds at the old one, which still serves.
+    assert_eq!(new.call("RESTORE s-1"), ["+OK s-1 back"]);
+    until(&old, "/cluster_unhealthy", 0.into());
+    drop(old);
+    // Cut off, foreign, or of another dispatcher: left, with a word in the log.
+    let whole = std::fs::read(&file).expect("the file");
+    for spoilt in [whole[..whole.len() / 2].to_vec(), b"garbage\n".to_vec(), whole.replace_name()] {
+        let tmp = new.tmp.join(format!("spoilt-{}", spoilt.len()));
+        std::fs::create_dir_all(&tmp).expect("a folder");
+        std::fs::write(tmp.join("roselock-n0.suspended"), &spoilt).expect("written");
+        let mut third = Dispatcher::launch(start(tmp));
+        assert!(third.has_logged("roselock-n0.suspended is left").starts_with(':'));
+        assert_eq!(third.call("STATUS"), ["+OK ready"]);
+        assert_eq!(figures(&third)["cluster_unhealthy"], 0);
+    }
+}
+
+trait Rename {
+    fn replace_name(&self) -> Vec<u8>;
+}
+
+impl Rename for Vec<u8> {
+    /// The same file, of another dispatcher, its sum made anew.
+    fn replace_name(&self) -> Vec<u8> {
+        let text = String::from_utf8(self.clone()).expect("text");
+        let body = text.lines().nth(1).expect("a body").replace(r#""name":"n0""#, r#""name":"n7""#);
+        format!("roselock-suspended 1\n{body}\ncrc32 {:08x}\n", crc32(body.as_bytes())).into_bytes()
+    }
+}
+
+/// CRC-32 (IEEE), bit by bit: the stories need it once.
+fn crc32(bytes: &[u8]) -> u32 {
+    let mut crc = !0u32;
+    for byte in bytes {
+        crc ^= *byte as u32;
+        for _ in 0..8 {
+            crc = if crc & 1 == 1 { (crc >> 1) ^ 0xEDB8_8320 } else { crc >> 1 };
+        }
+    }
+    !crc
+}
