--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -79,6 +79,7 @@
         bytes: AtomicUsize::new(shares.bytes),
         held: AtomicUsize::new(0),
         inherited,
+        figures: operation.figures.clone(),
     });
     let accepting = front.clone();
     may::go!(move || front::accept(accepting, &listener));
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -8,6 +8,7 @@
 use may::sync::mpsc::{Receiver, Sender, channel};
 use roselock::settings::{Site, fnv};
 use roselock::{ClassId, KeyId, Micros, SECOND, TenantId};
+use roselock_operation::figures::{End, Figures};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -38,6 +39,8 @@
     pub bytes: AtomicUsize,
     /// Whether the listener is the platform's, on which the next process accepts once this one stops.
     pub inherited: bool,
+    /// The figures of the admin address: who is turned away here is counted here.
+    pub figures: Arc<Figures>,
 }
 
 /// The answer to a call-back.
@@ -319,7 +322,10 @@
     }
     let close = message.close;
     let Some(new) = stream_of(front, message, from) else { return Routed::Reply(400, "") };
-    let Some(held) = Held::new(front, bulk) else { return Routed::Reply(503, after(503)) };
+    let Some(held) = Held::new(front, bulk) else {
+        front.figures.ended(new.class.0 as usize, End::Deferred, false);
+        return Routed::Reply(503, after(503));
+    };
     // Whose request is passed on has to stay for the answer.
     if stranger.take().is_some_and(|s| !s.keep()) {
         return Routed::Shed;
