--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -531,7 +531,10 @@
     fn called_back(&mut self, call: &str, from: &str, told: Told, gauge: Gauge) {
         // Of a former life, of another stream, of an attempt that is over: not ours to heed.
         let stream = self.calls.get(call).and_then(|id| self.streams.get(id));
-        let Some((stream, id)) = stream.and_then(|s| Some((s, s.out?))) else { return };
+        let Some((stream, id)) = stream.and_then(|s| Some((s, s.out?))) else {
+            tracing::debug!(id = call, from, "call-back of no attempt that is out here");
+            return;
+        };
         let up = &self.upstreams[&id];
         if self.fleets[up.fleet].hosts.get(&up.host).is_none_or(|h| h.uid != from) {
             return;
