Pass call-backs of streams held by the other process of an upgrade on through $TMPDIR

Change: where the listener is inherited, a call-back whose id has no stream here goes, with its body, to a thread (lifecycle/relay.rs) that appends it to $TMPDIR/roselock-NAME.relay.PID (length, body; 4 MiB at most, 1,024 waiting at most, beyond: dropped with a log line) and reads the files of the other processes of its name every 10 ms, from where they stood at its start; what it reads is posted as a call-back that is never passed on again.

Tests: a call-back sent to the other process reaches the stream (two processes, one $TMPDIR; fails without this change: the client waits out its budget); an upgrade on one inherited listener with a host that calls back at once: 60 requests before, during and after, all served, the old process logs that it takes no more connections and exits by itself within 3.7 s of SIGTERM.

--- a/dispatcher/src/lifecycle/mod.rs
+++ b/dispatcher/src/lifecycle/mod.rs
@@ -5,4 +5,5 @@
 pub mod inherit;
 pub mod log;
 pub mod problem;
+pub mod relay;
 pub mod serve;
--- /dev/null
+++ b/dispatcher/src/lifecycle/relay.rs
@@ -0,0 +1,149 @@
+//! Call-backs between the two processes of an upgrade, through `$TMPDIR`: both accept on the one inherited
+//! listener, so a host's word of a stream may reach the process that does not hold it. Each process appends such
+//! words to a file of its own and reads the files of the other processes of its name (docs/design/operation.md).
+
+use crate::memory::{Inbox, Relay};
+use crate::wire::callbacks;
+use roselock::settings::Site;
+use std::collections::HashMap;
+use std::fs::File;
+use std::io::{Read, Seek, SeekFrom, Write};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::time::Duration;
+
+/// How often the files are looked at.
+const LOOK: Duration = Duration::from_millis(10);
+/// Most bytes a process writes; beyond, call-backs are dropped.
+const MOST_BYTES: u64 = 4 << 20;
+/// Most call-backs that wait for the thread; one more is dropped.
+const QUEUE: usize = 1024;
+/// Most bytes of one call-back: a body holds 64 KiB at most.
+const MOST_RECORD: usize = 64 << 10;
+
+/// The owner's end: never waits.
+struct Sender {
+    queue: SyncSender<Vec<u8>>,
+}
+
+impl Relay for Sender {
+    fn pass(&self, body: Vec<u8>) {
+        if let Err(TrySendError::Full(_)) = self.queue.try_send(body) {
+            tracing::warn!("a call-back to pass on is dropped: 1,024 wait already");
+        }
+    }
+}
+
+/// Starts the thread; what it reads goes to the owner as call-backs that are not passed on again.
+pub fn start(name: &str, site: Arc<Site>, inbox: Inbox) -> Box<dyn Relay> {
+    let (queue, outlet) = sync_channel(QUEUE);
+    let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
+    let prefix = format!("roselock-{name}.relay.");
+    std::thread::spawn(move || run(&prefix, &site, &inbox, &outlet));
+    Box::new(Sender { queue })
+}
+
+/// A file of another process, read up to here.
+struct Other {
+    file: File,
+    at: u64,
+}
+
+fn run(prefix: &str, site: &Site, inbox: &Inbox, outlet: &Receiver<Vec<u8>>) {
+    let dir = std::env::temp_dir();
+    let own = dir.join(format!("{prefix}{}", std::process::id()));
+    let (mut out, mut written, mut dropped) = (None::<File>, 0u64, 0u64);
+    // What the others wrote before this process began is not for it.
+    let mut others: HashMap<PathBuf, Other> = HashMap::new();
+    scan(&dir, prefix, &own, &mut others, true);
+    loop {
+        while let Ok(body) = outlet.try_recv() {
+            if written + body.len() as u64 + 16 > MOST_BYTES {
+                dropped += 1;
+                if dropped == 1 {
+                    tracing::warn!("call-backs to pass on are dropped: {} holds 4 MiB", own.display());
+                }
+                continue;
+            }
+            if out.is_none() {
+                out = File::options().create(true).append(true).open(&own).ok();
+            }
+            let record = [format!("{}\n", body.len()).as_bytes(), &body, b"\n"].concat();
+            if out.as_mut().is_some_and(|f| f.write_all(&record).is_ok()) {
+                written += record.len() as u64;
+            }
+        }
+        scan(&dir, prefix, &own, &mut others, false);
+        for other in others.values_mut() {
+            for body in read(other) {
+                callbacks::take(&body, site, inbox, false);
+            }
+        }
+        std::thread::sleep(LOOK);
+    }
+}
+
+/// Finds the files of the other processes; those found at the start are read from their end on.
+fn scan(
+    dir: &std::path::Path,
+    prefix: &str,
+    own: &PathBuf,
+    others: &mut HashMap<PathBuf, Other>,
+    first: bool,
+) {
+    let Ok(entries) = std::fs::read_dir(dir) else { return };
+    for entry in entries.flatten() {
+        let path = entry.path();
+        let ours = entry.file_name().to_str().is_some_and(|n| n.starts_with(prefix));
+        if !ours || &path == own || others.contains_key(&path) {
+            continue;
+        }
+        if let Ok(file) = File::open(&path) {
+            let at = if first { file.metadata().map_or(0, |m| m.len()) } else { 0 };
+            others.insert(path, Other { file, at });
+        }
+    }
+}
+
+/// The whole records that came since the last look.
+fn read(other: &mut Other) -> Vec<Vec<u8>> {
+    let mut bytes = Vec::new();
+    if other.file.seek(SeekFrom::Start(other.at)).is_err() || other.file.read_to_end(&mut bytes).is_err() {
+        return Vec::new();
+    }
+    let (records, used) = records(&bytes);
+    other.at += used as u64;
+    records
+}
+
+/// Splits `length \n body \n` records; how many bytes they took. A record that makes no sense ends the reading.
+fn records(bytes: &[u8]) -> (Vec<Vec<u8>>, usize) {
+    let (mut records, mut used) = (Vec::new(), 0);
+    while let Some(end) = bytes[used..].iter().position(|&b| b == b'\n') {
+        let length = std::str::from_utf8(&bytes[used..used + end]).ok().and_then(|l| l.parse::<usize>().ok());
+        let Some(length) = length.filter(|l| *l <= MOST_RECORD) else { return (records, bytes.len()) };
+        let start = used + end + 1;
+        if bytes.len() < start + length + 1 {
+            break;
+        }
+        records.push(bytes[start..start + length].to_vec());
+        used = start + length + 1;
+    }
+    (records, used)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::records;
+
+    #[test]
+    fn whole_records_are_read_and_a_part_waits() {
+        let bytes = b"3\nabc\n5\nhello\n4\nha";
+        let (read, used) = records(bytes);
+        assert_eq!(read, [b"abc".to_vec(), b"hello".to_vec()]);
+        assert_eq!(used, 14);
+        // Nonsense ends the file's reading rather than taking a part for a whole.
+        assert_eq!(records(b"x\nabc\n"), (Vec::new(), 6));
+    }
+}
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -2,7 +2,7 @@
 
 use super::config::{self, Config};
 use super::log;
-use super::{handover, inherit};
+use super::{handover, inherit, relay};
 use crate::memory::core::{Core, Operation};
 use crate::memory::{FleetId, Inbox, Input, clock};
 use crate::wire::admin::{self, Admin};
@@ -125,6 +125,9 @@
         tracing::info!("{}: admin on {listen}", config.name);
     }
     handover::keep(operation.hand.clone(), owner, inbox.clone());
+    if inherited {
+        core.set_relay(relay::start(&config.name, front.site.clone(), inbox.clone()));
+    }
     let name = config.name.clone();
     tracing::info!("{name}: serving on {listen}");
     heed_signals(signals, config, Parts { inbox, fleet, registry, gearman });
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -162,6 +162,8 @@
     /// The figures and the workers out by hand; the change of those last told, the workers out, and when the
     /// figures of the list were last set.
     operation: Operation,
+    /// Where call-backs of streams that are not here go, where another process may have them.
+    relay: Option<Box<dyn Relay>>,
     hand_seen: u64,
     told: std::collections::BTreeSet<WorkerId>,
     published: Micros,
@@ -194,12 +196,18 @@
             feeds: Vec::new(),
             turn: 0,
             operation,
+            relay: None,
             hand_seen: 0,
             told: Default::default(),
             published: 0,
         }
     }
 
+    /// Passes call-backs of streams that are not here to the other process of an upgrade.
+    pub fn set_relay(&mut self, relay: Box<dyn Relay>) {
+        self.relay = Some(relay);
+    }
+
     /// Adds streams that wait elsewhere.
     pub fn add_feed(&mut self, feed: Box<dyn Feed>) {
         self.feeds.push(feed);
@@ -302,7 +310,14 @@
                 self.forget(id);
             }
             Input::Upstream(id, heard, link) => self.heard(id, heard, link),
-            Input::CallBack(call, from, told, gauge) => self.called_back(&call, &from, told, gauge),
+            Input::CallBack(call, from, told, gauge, body) => {
+                if !self.calls.contains_key(&call) {
+                    if let (Some(relay), Some(body)) = (&self.relay, body) {
+                        return relay.pass(body);
+                    }
+                }
+                self.called_back(&call, &from, told, gauge);
+            }
             Input::Hosts(fleet, mode, hosts) => self.list(fleet, mode, hosts),
             Input::Room(fleet, worker, free) => {
                 let gauge = Gauge { free_slots: Some(free), ..Gauge::default() };
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -217,6 +217,12 @@
     fn watch(&self);
 }
 
+/// Passes call-backs of streams that are not here to the other process of an upgrade. Never waits.
+pub trait Relay: Send {
+    /// Passes one on, as its body came.
+    fn pass(&self, body: Vec<u8>);
+}
+
 /// Streams that wait elsewhere until the owner has room for them. Called by the owner alone; never waits.
 pub trait Feed: Send {
     /// The next one, if one may come in now.
@@ -292,8 +298,9 @@
     Left(StreamId),
     /// News of an upstream request.
     Upstream(UpstreamId, Heard, LinkIs),
-    /// A call-back: the client's id, who tells it, and what.
-    CallBack(String, String, Told, Gauge),
+    /// A call-back: the client's id, who tells it, and what; and its body, where it may be passed on to the other
+    /// process of an upgrade if its stream is not here.
+    CallBack(String, String, Told, Gauge, Option<Vec<u8>>),
     /// News of the hosts.
     Hosts(FleetId, ListMode, Vec<ListedHost>),
     /// A host that came to us has so many hands free, by what it does elsewhere.
--- a/dispatcher/src/wire/callbacks.rs
+++ b/dispatcher/src/wire/callbacks.rs
@@ -25,8 +25,9 @@
     load: Option<settings::Gauge>,
 }
 
-/// Passes one on; false where it makes no sense.
-pub fn take(body: &[u8], site: &Site, inbox: &Inbox) -> bool {
+/// Passes one on, with its body where the other process of an upgrade may have its stream; false where it makes no
+/// sense.
+pub fn take(body: &[u8], site: &Site, inbox: &Inbox, relayed: bool) -> bool {
     let Ok(c) = serde_json::from_slice::<CallBack>(body) else { return false };
     let told = match &*c.state {
         "started" => Told::Started,
@@ -38,6 +39,7 @@
         _ => return false,
     };
     let gauge = c.load.map(|l| site.gauge(&l)).unwrap_or_default();
-    inbox.post(Input::CallBack(c.id.into_owned(), c.from.into_owned(), told, gauge));
+    let body = relayed.then(|| body.to_vec());
+    inbox.post(Input::CallBack(c.id.into_owned(), c.from.into_owned(), told, gauge, body));
     true
 }
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -308,7 +308,7 @@
     let path = target.split('?').next().unwrap_or("");
     match (method, path) {
         ("POST", callbacks::PATH) => {
-            let known = callbacks::take(message.body(), &front.site, &front.inbox);
+            let known = callbacks::take(message.body(), &front.site, &front.inbox, front.inherited);
             return Routed::Reply(if known { CALLED_BACK } else { 400 }, "");
         }
         ("GET", "/health/ready") => {
--- a/dispatcher/tests/operation.rs
+++ b/dispatcher/tests/operation.rs
@@ -181,3 +181,90 @@
     }
     !crc
 }
+
+/// Guards against the word of a host that reaches the other process of an upgrade and is lost there: both processes
+/// accept on the one inherited listener. Here each has a listener of its own, so that the word is sure to reach the
+/// process that does not hold the stream.
+#[rstest]
+fn a_call_back_at_the_other_process_reaches_the_stream() {
+    let host = Host::new("s-1");
+    let discovery = Discovery::start();
+    let (settings, known) = (settings(0.0, 2.0), list(7, true, &[host.line("ready")]));
+    let start = |tmp: Option<std::path::PathBuf>| Start {
+        inherit: Some(bind()),
+        tmp,
+        ..Start::new(discovery.at, &settings, &known)
+    };
+    let holder = Dispatcher::launch(start(None));
+    let other = Dispatcher::launch(start(Some(holder.tmp.clone())));
+    let mut client = holder.ask("c1", "look", 10.0);
+    let (_peer, _) = host.take();
+    assert_eq!(other.call_back("c1", "s-1", DONE), 204);
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"r"[..]));
+}
+
+/// Guards against an upgrade that loses clients: the new process takes the inherited listener beside the old one,
+/// the old one stops taking connections at SIGTERM, ends what it holds and exits, and every request on the way is
+/// served, whichever process the host's call-back reaches.
+#[rstest]
+fn an_upgrade_on_the_inherited_listener_loses_no_client() {
+    let listener = bind();
+    let at = listener.local_addr().expect("an address");
+    let host = Host::new("s-1");
+    let discovery = Discovery::start();
+    let (settings, known) = (settings(0.0, 2.0), list(7, true, &[host.line("ready")]));
+    let start = |tmp: Option<std::path::PathBuf>| Start {
+        admin: true,
+        inherit: Some(listener.try_clone().expect("a clone")),
+        tmp,
+        ..Start::new(discovery.at, &settings, &known)
+    };
+    let mut old = Dispatcher::launch(start(None));
+    // The host takes every request and calls back at once, to whichever process accepts the call-back.
+    let serving = host.listener.try_clone().expect("a clone");
+    std::thread::spawn(move || {
+        for stream in serving.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let mut peer = Peer::new(stream);
+                while let Some(request) = peer.read() {
+                    peer.write(TAKEN);
+                    let id = request.header("x-call-id").expect("an id").to_owned();
+                    let body = format!(r#"{{"id":"{id}","from":"s-1",{DONE}}}"#);
+                    let mut back = Peer::new(connect(at));
+                    back.write(&format!(
+                        "POST /v1/job-events HTTP/1.1\r\nContent-Length: {}\r\n\r\n{body}",
+                        body.len()
+                    ));
+                    assert_eq!(back.read().expect("an answer").status(), 204);
+                }
+            });
+        }
+    });
+    let asking = move |from: usize| {
+        (from..from + 20)
+            .map(|i| {
+                let mut client = Peer::new(connect(at));
+                client.ask(&format!("c{i}"), "look", 2.0);
+                client.read().map(|answer| answer.status())
+            })
+            .collect::<Vec<_>>()
+    };
+    let before = std::thread::spawn(move || asking(0));
+    let new = Dispatcher::launch(start(Some(old.tmp.clone())));
+    assert_eq!(new.call("STATUS"), ["+OK ready"]);
+    old.terminate();
+    let during = asking(100);
+    assert!(before.join().expect("no panic").iter().chain(&during).all(|s| *s == Some(200)), "{during:?}");
+    let since = Instant::now();
+    let exit = loop {
+        if let Some(status) = old.child.try_wait().expect("a state") {
+            break status;
+        }
+        assert!(since.elapsed() < std::time::Duration::from_millis(3700), "the old process is still there");
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    };
+    assert!(exit.success(), "{exit:?}");
+    old.has_logged("no more connections are taken");
+    assert_eq!(asking(200), vec![Some(200); 20]);
+}
