Read the trailer fields after the last chunk of a body instead of answering 400

A line naming what was held showed the same bytes each time: "0\r\nX-Sum: 5f3a\r\nX-Done: 1\r\n\r\n", the last chunk with trailer fields. Reader::chunk wanted CRLF right after the last chunk's size line; RFC 9112 (7.1.2) allows fields there.

Change: after the last chunk, Reader::trailers reads up to the empty line (8 KiB at most, then 431) and keeps nothing of it. Debug lines at the front name a request not read whole, with what was held, and a connection that ended within one.

Test: a chunked body with trailers, also in pieces, is served and the connection serves on (fails without the change: 400).

--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -239,8 +239,13 @@
                 let status = match bad {
                     Bad::Status(status) => status,
                     Bad::Late => 408,
-                    Bad::Ended | Bad::Broken => return,
+                    Bad::Ended | Bad::Broken => {
+                        tracing::debug!(%peer, partial = !reader.is_empty(), "connection ended: {bad:?}");
+                        return;
+                    }
                 };
+                let held = reader.held().iter().take(160).copied().collect::<Vec<u8>>();
+                tracing::debug!(%peer, status, first = hello.is_some(), held = %held.escape_ascii(), "request not read whole: {bad:?}");
                 if http::respond(&socket, status, after(status), b"", true, by(PARTING)).is_ok() {
                     part(front, &socket, &mut reader);
                 }
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -114,6 +114,10 @@
     pub fn new(socket: Socket) -> Reader {
         Reader { socket, buffer: Vec::new() }
     }
+    /// What is read and not yet parsed.
+    pub fn held(&self) -> &[u8] {
+        &self.buffer
+    }
     /// Whether nothing is read that is not yet parsed.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
@@ -207,6 +211,10 @@
     pub fn chunk(&mut self, into: &mut Vec<u8>, most: usize, deadline: Micros) -> Result<bool, Bad> {
         loop {
             match httparse::parse_chunk_size(&self.buffer) {
+                Ok(httparse::Status::Complete((start, 0))) => {
+                    self.trailers(start, deadline)?;
+                    return Ok(false);
+                }
                 Ok(httparse::Status::Complete((start, size))) => {
                     let size = usize::try_from(size).ok().filter(|s| *s <= most).ok_or(Bad::Status(413))?;
                     self.want(start + size + 2, deadline)?;
@@ -223,6 +231,26 @@
         }
     }
 
+    /// Past the last chunk, from `start`: trailer fields (RFC 9112, 7.1.2) up to an empty line, which are not kept.
+    fn trailers(&mut self, start: usize, deadline: Micros) -> Result<(), Bad> {
+        loop {
+            let rest = &self.buffer[start.min(self.buffer.len())..];
+            let end = if rest.starts_with(b"\r\n") {
+                Some(2)
+            } else {
+                rest.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4)
+            };
+            if let Some(end) = end {
+                self.buffer.drain(..start + end);
+                return Ok(());
+            }
+            if rest.len() > HEAD {
+                return Err(Bad::Status(431));
+            }
+            self.more(deadline)?;
+        }
+    }
+
     fn head(&mut self, deadline: Micros, parse: fn(&[u8]) -> Parsed) -> Result<(Message, usize), Bad> {
         loop {
             if !self.buffer.is_empty() {
--- a/dispatcher/tests/platform.rs
+++ b/dispatcher/tests/platform.rs
@@ -549,3 +549,27 @@
     assert_eq!(dispatcher.call_back("c1", "s-2", DONE), 204);
     assert_eq!(client.read().expect("an answer").status(), 200);
 }
+
+/// Guards against a chunked body with trailer fields taken for nonsense (400): the last chunk may be followed by
+/// fields before its empty line (RFC 9112, 7.1.2), and any part may come on its own.
+#[rstest]
+#[case::no_trailers("4\r\nbo", "dy\r\n0\r\n\r\n")]
+#[case::trailers("4\r\nbody\r\n0\r\nX-Sum: 5f3a\r\nX-D", "one: 1\r\n\r\n")]
+#[case::trailers_in_pieces("4\r\nbody\r\n0\r", "\nX-Sum: 5f3a\r\n\r\n")]
+fn a_chunked_body_with_trailers_is_served(#[case] first: &str, #[case] rest: &str) {
+    let host = Host::new("s-1");
+    let (_discovery, dispatcher) = world(&[&host]);
+    let mut client = Peer::new(connect(dispatcher.http));
+    let head = "POST /api/u HTTP/1.1\r\nX-Call-Id: c1\r\nX-Call-Class: look\r\nX-Budget: 9\r\n";
+    client.write(&format!("{head}Transfer-Encoding: chunked\r\n\r\n{first}"));
+    std::thread::sleep(std::time::Duration::from_millis(30));
+    client.write(rest);
+    let (mut peer, request) = host.take();
+    assert_eq!(&request.body[..], b"body");
+    assert_eq!(dispatcher.call_back("c1", "s-1", DONE), 204);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    // The connection serves on: nothing of the trailers is left to be read as the next request.
+    client.ask("c2", "look", 9.0);
+    let request = peer.read().expect("the next request on the same connection");
+    assert_eq!(request.header("x-call-id"), Some("c2"));
+}
