Call the list service at a pace that follows what its calls show

Cause: the round of calls was 83 ms a dispatcher, at most 8 s, whatever the service bears. A quick one is left idle for 8 s; one that also works on calls that gave up never recovers, since failures came again within the same 8 s, and a time drawn from all of a round calls twice as often as the round says.

Design: a pure part, crates/startup, as both the program and the simulator's host ask it through the module. Way not taken: a plain exponential pause, as it says nothing of the number of dispatchers, and a pace in the socket code, as the simulator would not have it. A call that waited in vain doubles the estimate of what a call takes, one that is answered draws it to what its time speaks for, one that fails at once says nothing (a service that is down is asked as before). A watch that breaks under all at once is met in turn, by the learned round.

--- /dev/null
+++ b/crates/startup/src/pace.rs
@@ -0,0 +1,137 @@
+//! The pace of calls to the list service, which serves one call after another, to all dispatchers.
+//!
+//! Nobody tells a dispatcher how much that service bears, and dispatchers don't talk. So each keeps an estimate of the
+//! time that one call takes the service, and calls at a place of its own in a *round*: that time for each dispatcher.
+//! The estimate follows what the service shows: a call that fails after a wait at least doubles it, one that is answered draws it to
+//! what its time speaks for. It is the rule of additive increase and multiplicative decrease (D. Chiu, R. Jain:
+//! *Analysis of the Increase and Decrease Algorithms for Congestion Avoidance*, 1989) turned from rates to times a
+//! call, with a measured target, as a dispatcher makes too few calls to probe for one in small steps.
+
+/// A span or a point in time, in microseconds.
+pub type Micros = i64;
+
+const SECOND: Micros = 1_000_000;
+/// The golden ratio: its multiples, less their whole parts, lie evenly.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
+/// Of a round, over the calls' own time, so that a queue that formed goes away.
+const MARGIN: f64 = 1.25;
+/// Bounds of the estimate.
+const LEAST: Micros = SECOND / 1000;
+const MOST: Micros = SECOND;
+/// Least wait after a break or a failure: first, and the longest as a share of the time that binds.
+const PAUSE: Micros = SECOND / 4;
+
+/// A failure within this span says nothing of how long calls wait.
+const AT_ONCE: Micros = SECOND / 4;
+/// Where in a round a call comes after two in a row that waited in vain.
+const AGAIN: std::ops::Range<f64> = 0.5..1.2;
+/// So many times as long as otherwise a dispatcher may go without asking after a call that failed.
+pub const AFTER_FAILURE: Micros = 4;
+
+/// What an installation is, for the pace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Round {
+    /// How many dispatchers share the service, this one included; at least 1.
+    pub all: u32,
+    /// This one's number among them, from 0.
+    pub me: u32,
+    /// The longest time without a call that counts as up to date; [`AFTER_FAILURE`] times as long after a failed one.
+    pub within: Micros,
+}
+
+impl Round {
+    /// This dispatcher's place in a round, as a share of it: even over all numbers, however few of them are up.
+    fn place(&self) -> f64 {
+        (f64::from(self.me) * GOLDEN).fract()
+    }
+    /// The length of a round at so much time a call, within what binds.
+    fn length(&self, call: Micros, failed: bool) -> Micros {
+        let time = f64::from(self.all) * call as f64;
+        (time as Micros).min(self.within * 4 / 5 * if failed { AFTER_FAILURE } else { 1 })
+    }
+}
+
+/// One dispatcher's pace.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    /// What one call takes the service, as estimated, with the margin.
+    call: Micros,
+    /// When the call that is under way began.
+    since: Option<Micros>,
+    /// How many calls of the round came before it, were all to call.
+    ahead: f64,
+    /// The last call waited in vain.
+    waited: bool,
+    /// Least wait before the next call.
+    pause: Micros,
+}
+
+impl Pace {
+    /// A pace that begins with a guess of what one call takes the service, in microseconds.
+    pub fn new(guess: Micros) -> Pace {
+        Pace { call: guess.clamp(LEAST, MOST), since: None, ahead: 0.0, waited: false, pause: PAUSE }
+    }
+
+    /// What one call is held to take the service, with a margin, in microseconds.
+    pub fn call(&self) -> Micros {
+        self.call
+    }
+
+    /// How long to wait before the first call.
+    pub fn first(&mut self, round: Round) -> Micros {
+        self.at(round, round.place(), false)
+    }
+
+    /// A call begins.
+    pub fn called(&mut self, now: Micros) {
+        self.since = Some(now);
+    }
+
+    /// The service has told something: the call that is under way is answered, if there is one.
+    pub fn answered(&mut self, now: Micros) {
+        (self.pause, self.waited) = (PAUSE, false);
+        let Some(since) = self.since.take() else { return };
+        // No call takes the service longer than its caller waited. What waited beyond the pace is a queue, which
+        // those ahead built up together.
+        let waited = (now - since).max(LEAST) as f64;
+        let before = self.call as f64 / MARGIN;
+        let shown = waited.min(before + waited / self.ahead.max(1.0));
+        self.call = ((shown * MARGIN) as Micros).clamp(LEAST, MOST);
+    }
+
+    /// The call failed, or the watch broke: how long to wait before the next one. `draw` is drawn anew, even in 0..1.
+    pub fn broken(&mut self, now: Micros, round: Round, draw: f64) -> Micros {
+        let pause = self.pause;
+        let failed = self.since.take();
+        let place = match failed {
+            Some(since) => {
+                let waited = (now - since).max(0);
+                // A call that waited took its place in a queue. One that failed at once cost next to nothing: the
+                // service is down or turns callers away, and is asked no less often for it once it is back.
+                if waited >= AT_ONCE {
+                    let shown = self.call as f64 + MARGIN * waited as f64 / self.ahead.max(1.0);
+                    self.call = ((2 * self.call).max(shown as Micros)).clamp(LEAST, MOST);
+                }
+                self.pause = (pause * 2).min((round.within / 8).max(PAUSE));
+                // Those that failed together come again at other places, beside others. Whose second call in a row
+                // waited in vain leaves most of a round out: drawn from all of it, the next one would come after half
+                // a round on average, and the service be called twice as often as the round says.
+                if std::mem::replace(&mut self.waited, waited >= AT_ONCE) && self.waited {
+                    AGAIN.start + draw * (AGAIN.end - AGAIN.start)
+                } else {
+                    draw
+                }
+            }
+            // What broke under all of us at once is met like a start, where nobody stands beside another.
+            None => round.place(),
+        };
+        // At least the pause is spread over, where one is alone or calls take no time.
+        let spread = ((pause as f64 * place) as Micros).max(self.at(round, place, failed.is_some()));
+        pause + spread
+    }
+
+    fn at(&mut self, round: Round, place: f64, failed: bool) -> Micros {
+        self.ahead = place * f64::from(round.all);
+        (round.length(self.call, failed) as f64 * place) as Micros
+    }
+}
--- /dev/null
+++ b/crates/startup/tests/pace.rs
@@ -0,0 +1,95 @@
+//! The pace of calls, each rule by a case that fails without it.
+
+use roselock_startup::pace::{Micros, Pace, Round};
+use rstest::rstest;
+
+const SECOND: Micros = 1_000_000;
+const GUESS: Micros = 20_000;
+
+fn round(me: u32) -> Round {
+    Round { all: 300, me, within: 10 * SECOND }
+}
+
+/// Guards against calls that come in one moment: the first round has no second with more than its even part.
+#[rstest]
+fn the_first_calls_lie_evenly_in_a_round() {
+    let mut at: Vec<Micros> = (0..300).map(|me| Pace::new(GUESS).first(round(me))).collect();
+    at.sort_unstable();
+    let widest = at.windows(2).map(|w| w[1] - w[0]).max();
+    assert!(at[299] < 6 * SECOND && widest < Some(3 * GUESS), "{widest:?}");
+}
+
+/// Guards against a constant: what a call shows draws the estimate to it, down to a quick service and up to a slow one.
+#[rstest]
+#[case::quick(5_000, 4_000..8_000)]
+#[case::as_guessed(16_000, 10_000..25_000)]
+#[case::queued(1_500_000, 25_000..40_000)]
+fn an_answered_call_draws_the_estimate(#[case] waited: Micros, #[case] wanted: std::ops::Range<Micros>) {
+    let mut pace = Pace::new(GUESS);
+    // Half of the others are ahead of it.
+    let me = (0..300).min_by_key(|me| (Pace::new(GUESS).first(round(*me)) - 3 * SECOND).abs()).expect("some");
+    pace.first(round(me));
+    pace.called(0);
+    pace.answered(waited);
+    assert!(wanted.contains(&pace.call()), "{}", pace.call());
+}
+
+/// Guards against news of a watch that are taken for the answer to a call.
+#[rstest]
+fn news_between_calls_say_nothing_of_the_service() {
+    let mut pace = Pace::new(GUESS);
+    pace.called(0);
+    pace.answered(16_000);
+    let before = pace.call();
+    pace.answered(9 * SECOND);
+    assert_eq!(pace.call(), before);
+}
+
+/// Guards against a collapse that keeps itself up: each failure leaves the service twice the time, four times as
+/// long as else where that binds, and no longer.
+#[rstest]
+fn failures_spread_the_calls_further() {
+    let (mut pace, mut now) = (Pace::new(GUESS), 0);
+    let mut latest = Vec::new();
+    pace.first(round(7));
+    for _ in 0..6 {
+        pace.called(now);
+        now += 2 * SECOND;
+        let after = pace.broken(now, round(7), 0.999);
+        latest.push(after / SECOND);
+        now += after;
+    }
+    assert!((12..15).contains(&latest[0]) && (29..35).contains(&latest[1]), "{latest:?}");
+    assert!(latest[2..].iter().all(|l| (35..40).contains(l)), "{latest:?}");
+}
+
+/// Guards against a herd when a service restarts and all watches break at once: nobody fails, and all come in turn.
+#[rstest]
+fn a_broken_watch_is_met_by_the_learned_round_in_turn() {
+    let mut at: Vec<Micros> = (0..300)
+        .map(|me| {
+            let mut pace = Pace::new(GUESS);
+            pace.first(round(me));
+            pace.called(0);
+            pace.answered(5_000);
+            pace.broken(SECOND, round(me), 0.5)
+        })
+        .collect();
+    at.sort_unstable();
+    let busiest = at.iter().map(|t| at.iter().filter(|u| (0..SECOND / 2).contains(&(*u - t))).count()).max();
+    assert!(at[299] < 5 * SECOND / 2, "a quick service is used at once: {}", at[299]);
+    assert!(busiest < Some(100), "{busiest:?} in half a second");
+}
+
+/// Guards against a service that is back and not asked: while it was down, calls failed at once.
+#[rstest]
+fn a_service_that_is_down_is_asked_as_often_as_before() {
+    let (mut pace, mut now) = (Pace::new(GUESS), 0);
+    for _ in 0..8 {
+        pace.called(now);
+        now += 1_000;
+        let after = pace.broken(now, round(7), 0.999);
+        assert!(after < 8 * SECOND, "{after}");
+        now += after;
+    }
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -15,6 +15,9 @@
 /// One second in [`Micros`].
 pub const SECOND: Micros = 1_000_000;
 
+/// What one call is taken to cost discovery where nothing is told: a share of a second that slow ones need, too.
+pub const LIST_CALL: Micros = SECOND / 12;
+
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
@@ -237,6 +240,8 @@
     pub tail_misses: Option<f64>,
     /// Discovery must be asked ([`Action::Watch`]); otherwise changes come by themselves.
     pub must_watch: bool,
+    /// What one call is taken to cost discovery before any was made; then the pace follows what calls show.
+    pub list_call: Micros,
     /// [`FleetEntry::units`] falls as a worker holds more requests.
     pub live_units: bool,
     /// Workers report when a job starts.
@@ -267,6 +272,7 @@
             over_share_worth: 1.0,
             tail_misses: None,
             must_watch: false,
+            list_call: LIST_CALL,
             live_units: false,
             tells_start: false,
             progress: 0,
@@ -284,6 +290,7 @@
             ("classes".into(), !self.classes.is_empty(), "must not be empty"),
             share("over_share_worth", self.over_share_worth),
             span("progress", self.progress),
+            span("list_call", self.list_call),
             ("tick".into(), self.tick > 0, "must be above 0"),
             ("limits.send_cap".into(), self.limits.send_cap > 0, "must be at least 1"),
             span("limits.conn_idle", self.limits.conn_idle),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,6 +6,7 @@
 use crate::api::*;
 pub use crate::state::Dispatcher;
 use crate::state::*;
+use roselock_startup::pace::Round;
 use std::collections::BTreeSet;
 
 const WINDOW: f64 = 256.0; // length of the payoff window in ticks, by which T is pushed on when it is reached
@@ -31,8 +32,7 @@
 const UNHINTED: f64 = 0.3; // weight of a speed sample without a hint
 const HEALTH_PRIOR: f64 = 0.3; // answers that success counts as before any: little, so that one error tells
 const TRIAL_BELOW: f64 = 0.6; // chance of success from which down a worker gets single trials
-const PAUSE: [Micros; 2] = [SECOND / 2, 4 * SECOND]; // between trials, and calls to discovery: first, longest
-const CALL: Micros = SECOND / 12; // that a call takes discovery where all call, with a margin
+const PAUSE: [Micros; 2] = [SECOND / 2, 4 * SECOND]; // between trials: first, longest
 const FIRST_ROOM: f64 = 2.0; // of a worker when nothing at all is known, in slots or memory units
 const REPORT_AGE: Micros = SECOND / 2; // of a report that comes with a delay
 const COLD_CARE: f64 = 0.7; // share of the cold budget that is used, since the capacity behind it is a guess
@@ -168,8 +168,8 @@
             self.since = now;
             if self.set.must_watch {
                 // All may have come up at once, and discovery serves in turn: each at a time of its own.
-                let turn = (self.set.me as f64 * GOLDEN).fract() * self.round() as f64;
-                out.push(Action::Timer { after: turn as Micros, token: WATCH_TOKEN });
+                let after = self.calls.first(self.round());
+                out.push(Action::Timer { after, token: WATCH_TOKEN });
             }
         }
         let mut changed = events.iter().fold(false, |changed, e| self.take(e, out) | changed);
@@ -196,7 +196,10 @@
             }
             Event::CancelledByClient(job) => self.end(*job, out),
             Event::Alarm(TICK_TOKEN) => self.tick_due = None,
-            Event::Alarm(WATCH_TOKEN) => out.push(Action::Watch),
+            Event::Alarm(WATCH_TOKEN) => {
+                self.calls.called(self.now);
+                out.push(Action::Watch);
+            }
             Event::Alarm(MOVE_TOKEN) => {}
             Event::Alarm(id) => {
                 let id = JobId(*id as u32);
@@ -492,22 +495,19 @@
 
     // ---- The list of workers ----
 
-    /// The time in which discovery may serve all of us in turn, within what binds us.
-    fn round(&self) -> Micros {
-        (self.set.fleet_size as Micros * CALL).min(self.set.safety.ask_within * 4 / 5)
+    /// Who calls discovery, and within what time: the pace of the calls is no decision about work.
+    fn round(&self) -> Round {
+        Round { all: self.set.fleet_size, me: self.set.me, within: self.set.safety.ask_within }
     }
 
     pub(crate) fn fleet(&mut self, mode: ListMode, entries: &[FleetEntry], out: &mut Vec<Action>) {
         if mode == ListMode::Broken {
-            // Ask anew, ever more slowly so as not to crowd discovery, but within the time that binds us.
-            let most = (self.set.safety.ask_within / 2).max(PAUSE[0]);
-            let pause = self.watch_pause.clamp(PAUSE[0], most);
-            self.watch_pause = pause * 2;
-            let jitter = (self.rng.rand_float() * (pause / 2).max(self.round()) as f64) as Micros;
-            out.push(Action::Timer { after: pause / 2 + jitter, token: WATCH_TOKEN });
+            // Ask anew, more slowly so as not to crowd discovery, but within the time that binds us.
+            let (round, draw) = (self.round(), self.rng.rand_float());
+            out.push(Action::Timer { after: self.calls.broken(self.now, round, draw), token: WATCH_TOKEN });
             return;
         }
-        self.watch_pause = 0;
+        self.calls.answered(self.now);
         let mut changed = mode == ListMode::Complete;
         if changed {
             let listed: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,8 +1,8 @@
 //! A site's settings as they stand in JSON, the same on the simulator's wire and in a dispatcher's configuration.
 
 use crate::api::{
-    Allowance, Class, Costs as Prices, Effect, KeyScope, KindId, Limits as Permits, Micros, SECOND,
-    Safety as Rules, Settings, Tenant, ZoneId,
+    Allowance, Class, Costs as Prices, Effect, KeyScope, KindId, LIST_CALL, Limits as Permits, Micros,
+    SECOND, Safety as Rules, Settings, Tenant, ZoneId,
 };
 use serde::Deserialize;
 use serde::de::Deserializer;
@@ -220,6 +220,7 @@
             over_share_worth: self.over_share_worth.unwrap_or(1.0),
             tail_misses: self.objective_mix.miss_share.filter(|_| self.objective_mix.slow_end > 0.0),
             must_watch: self.discovery == "subscribe",
+            list_call: LIST_CALL,
             live_units: self.weight_kind == "live",
             tells_start: info.tells_start,
             progress: micros(info.progress_s),
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use crate::rules::POOL_WEIGHT;
+use roselock_startup::pace::Pace;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Look-ahead of the prices, in ticks: longer runs are priced as if they ended there.
@@ -433,7 +434,8 @@
     pub(crate) tick_due: Option<Micros>,
     /// Highest chance of success among the workers.
     pub(crate) best_success: f64,
-    pub(crate) watch_pause: Micros,
+    /// When discovery is called.
+    pub(crate) calls: Pace,
     /// The quickest start of a job in each zone.
     pub(crate) quickest: BTreeMap<ZoneId, Micros>,
     /// Workers out by hand, with what the list said of them last, if it named them.
@@ -486,7 +488,7 @@
             swept: 0,
             tick_due: None,
             best_success: 1.0,
-            watch_pause: 0,
+            calls: Pace::new(set.list_call),
             quickest: BTreeMap::new(),
             suspended: BTreeMap::new(),
             set,
