--- /dev/null
+++ b/crates/rig/src/clients.rs
@@ -0,0 +1,136 @@
+//! Clients of both classes behind a front that admits only who is ready: arrivals are drawn ahead, and each request
+//! counts from when it was meant to come.
+
+use crate::http::Connection;
+use crate::ledger::{End, Seen};
+use crate::run::World;
+use crate::{Micros, SECOND};
+use oorandom::Rand64;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// The aim of both classes, in seconds.
+pub const PROMISE_S: f64 = 2.5;
+/// The clients' whole patience: what may run twice, what may not.
+const PATIENCE: [Micros; 2] = [5 * SECOND, 10 * SECOND];
+/// Least that must be left for another try.
+const LEAST: Micros = SECOND / 10;
+/// Between tries of who does not heed `Retry-After`, or is not told one.
+const AT_ONCE: Micros = SECOND / 50;
+
+/// Sends requests until the scenario's time is over.
+pub fn come(world: &Arc<World>, seed: u64) {
+    let scenario = &world.scenario;
+    let rate = scenario.rate * scenario.processes as f64;
+    let mut random = Rand64::new(u128::from(seed));
+    let mut at = 0.0;
+    loop {
+        at += -(1.0 - random.rand_float()).ln() / rate;
+        // Without a rate the first one comes at no time.
+        if at.is_nan() || at >= scenario.seconds {
+            break;
+        }
+        let came = (at * 1e6) as Micros;
+        world.clock.sleep_until(came);
+        let (pays, mut random) =
+            (random.rand_float() < scenario.pay_share, Rand64::new(u128::from(random.rand_u64())));
+        let world = world.clone();
+        world.asking.fetch_add(1, Ordering::SeqCst);
+        may::go!(move || {
+            request(&world, came, pays, &mut random);
+            world.asking.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+}
+
+/// One request with its tries.
+fn request(world: &Arc<World>, came: Micros, pays: bool, random: &mut Rand64) {
+    let deadline = came + PATIENCE[pays as usize];
+    let mut in_time = false;
+    while world.clock.now() + LEAST < deadline {
+        let Some(dispatcher) = world.admitted(random.rand_float()) else {
+            break;
+        };
+        let (end, back) = one(world, dispatcher, pays, deadline);
+        in_time = end == End::Served && world.clock.now() - came <= (PROMISE_S * 1e6) as Micros;
+        let again =
+            matches!(end, End::Refused | End::NotTaken) && random.rand_float() < world.scenario.clients.again;
+        if !again {
+            break;
+        }
+        let wait = back.filter(|_| world.scenario.clients.heed).map_or(AT_ONCE, |s| (s * 1e6) as Micros);
+        world.clock.sleep_until(world.clock.now() + wait);
+    }
+    world.note(Seen::Request(came, in_time));
+}
+
+/// One try: how it ended, and when to come back.
+fn one(world: &World, dispatcher: usize, pays: bool, deadline: Micros) -> (End, Option<f64>) {
+    let id = format!("d{dispatcher}-{:x}", world.ids.fetch_add(1, Ordering::SeqCst));
+    let class = ["look", "pay"][pays as usize];
+    // A kept connection that was closed meanwhile costs one more try on a new one, as in any client.
+    for fresh in [false, true] {
+        let kept = if fresh { None } else { world.pools[dispatcher].lock().ok().and_then(|mut p| p.pop()) };
+        let reused = kept.is_some();
+        let opened = || Connection::open(world.places[dispatcher].listen, Duration::from_secs(1));
+        let Ok(mut connection) = kept.map_or_else(opened, Ok) else {
+            return (End::NotTaken, None);
+        };
+        let budget = (deadline - world.clock.now()) as f64 / 1e6;
+        let head =
+            format!("X-Call-Id: {id}\r\nX-Call-Class: {class}\r\nX-Budget: {budget:.3}\r\nContent-Length: 4");
+        if connection.write(&format!("POST /api/u HTTP/1.1\r\nHost: a\r\n{head}\r\n\r\nbody")).is_err() {
+            if reused {
+                continue;
+            }
+            return (End::NotTaken, None);
+        }
+        let _ =
+            connection.patience(Duration::from_micros((deadline + SECOND - world.clock.now()).max(1) as u64));
+        let answer = connection.read();
+        if reused && matches!(&answer, Ok(None)) {
+            continue;
+        }
+        world.note(Seen::Asked(id.clone(), !pays, deadline));
+        let (end, back) = match &answer {
+            Ok(Some(answer)) => {
+                let made = answer.body == format!("made-{id}").as_bytes();
+                let back = answer.header("retry-after").and_then(|s| s.parse().ok());
+                match answer.status() {
+                    200 if made => (End::Served, None),
+                    429 | 503 => (End::Refused, back),
+                    200 => (End::Lost, None),
+                    _ => (End::Failed, None),
+                }
+            }
+            // Whose dispatcher was killed under it, by the rig, is owed nothing.
+            _ if world.killed(dispatcher) => (End::Failed, None),
+            _ => (End::Lost, None),
+        };
+        world.note(Seen::Ended(id, end));
+        if matches!(&answer, Ok(Some(a)) if a.header("connection") != Some("close")) {
+            if let Ok(mut pool) = world.pools[dispatcher].lock() {
+                pool.push(connection);
+            }
+        }
+        return (end, back);
+    }
+    (End::NotTaken, None)
+}
+
+/// Admits a dispatcher once it says that it is ready.
+pub fn front(world: &World, dispatcher: usize, life: usize) {
+    while !world.ended() && world.lives[dispatcher].load(Ordering::SeqCst) == life {
+        let ask = || -> std::io::Result<bool> {
+            let mut connection = Connection::open(world.places[dispatcher].listen, Duration::from_secs(1))?;
+            connection.patience(Duration::from_secs(1))?;
+            connection.write("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n")?;
+            Ok(connection.read()?.is_some_and(|a| a.status() == 200))
+        };
+        if ask().unwrap_or(false) {
+            return world.admit(dispatcher);
+        }
+        world.clock.sleep_until(world.clock.now() + SECOND / 10);
+    }
+}
--- /dev/null
+++ b/crates/rig/src/ledger.rs
@@ -0,0 +1,196 @@
+//! What the stand-ins saw, and what the rules say to it.
+
+use crate::run::World;
+use crate::{Micros, SECOND};
+use serde::Serialize;
+use std::collections::HashMap;
+
+/// How a client's request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum End {
+    /// Served with a worker's result.
+    Served,
+    /// Refused: 429 or 503.
+    Refused,
+    /// Failed: any other answer.
+    Failed,
+    /// Its connection never came up or was refused.
+    NotTaken,
+    /// Taken, and no whole answer in time.
+    Lost,
+}
+
+/// One thing that a stand-in saw.
+#[derive(Clone, Debug)]
+pub enum Seen {
+    /// A client sent a request: its id, whether it may run twice, and its deadline.
+    Asked(String, bool, Micros),
+    /// It ended.
+    Ended(String, End),
+    /// A worker got a job: worker, id.
+    Sent(usize, String),
+    /// It began to run there.
+    Began(usize, String),
+    /// It came to its end there.
+    Done(usize, String),
+    /// A connection came up at a worker, or went.
+    Opened(usize),
+    /// See [`Seen::Opened`].
+    Closed(usize),
+    /// A worker's drain was written to this dispatcher.
+    Told(usize, usize),
+    /// A dispatcher sent this worker a job.
+    SentBy(usize, usize),
+    /// A worker started cold: what it bears in a span of `fall` at its start, in jobs, and after how long it is warm.
+    Booted(usize, f64, f64, Micros),
+    /// A call came to the list service, with the length of its queue.
+    Call(usize, usize),
+    /// A call was turned away or dropped.
+    CallFailed(usize),
+    /// A dispatcher had the list written to it, for the first time since its start.
+    Listed(usize),
+    /// A dispatcher was started.
+    Started(usize),
+    /// A dispatcher that was stopped goes on: what was due meanwhile is due from now on.
+    Resumed(usize),
+    /// A request came to its end over all tries: when it came, and whether it was served in time.
+    Request(Micros, bool),
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Broken {
+    /// Which.
+    pub rule: &'static str,
+    /// When, in seconds.
+    pub at_s: f64,
+    /// What happened.
+    pub what: String,
+}
+
+/// What is allowed beside the rules' own figures.
+#[derive(Clone, Copy, Debug)]
+pub struct Slack {
+    /// After a deadline.
+    pub answer: Micros,
+    /// After the word of a drain: 500 ms and the way.
+    pub drain: Micros,
+    /// The span in which a cold worker bears its budget.
+    pub fall: Micros,
+}
+
+impl Default for Slack {
+    fn default() -> Slack {
+        Slack { answer: SECOND / 2, drain: SECOND * 3 / 5, fall: SECOND }
+    }
+}
+
+/// All that was seen, in the order of time.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger(pub Vec<(Micros, Seen)>);
+
+/// How full the fullest span was: its share, worker, and end.
+type Fullest = (f64, usize, Micros);
+
+impl Ledger {
+    /// Writes something down.
+    pub fn note(&mut self, now: Micros, seen: Seen) {
+        self.0.push((now, seen));
+    }
+
+    /// The rules that were broken, none if all were kept.
+    pub fn judge(&self, slack: Slack) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        let mut say =
+            |rule, at: Micros, what: String| broken.push(Broken { rule, at_s: at as f64 / 1e6, what });
+        let mut asked: HashMap<&str, (bool, Micros, u32)> = HashMap::new();
+        let mut began: HashMap<&str, u32> = HashMap::new();
+        let mut resumed: HashMap<usize, Micros> = HashMap::new();
+        let mut told: HashMap<(usize, usize), Micros> = HashMap::new();
+        for (at, seen) in &self.0 {
+            match seen {
+                Seen::Asked(id, twice, deadline) => _ = asked.insert(id, (*twice, *deadline, 0)),
+                Seen::Ended(id, end) => {
+                    let Some((_, deadline, answers)) = asked.get_mut(id.as_str()) else { continue };
+                    *answers += 1;
+                    if *answers > 1 {
+                        say("one answer", *at, format!("{id} was answered {answers} times"));
+                    }
+                    let due = resumed.get(&World::dispatcher_of(id).unwrap_or(usize::MAX)).copied();
+                    if *end == End::Lost || *at > due.unwrap_or(0).max(*deadline) + slack.answer {
+                        say("one answer", *at, format!("{id} had no answer in time"));
+                    }
+                }
+                Seen::Began(worker, id) => {
+                    let times = began.entry(id).or_insert(0);
+                    *times += 1;
+                    if *times > 1 && asked.get(id.as_str()).is_some_and(|a| !a.0) {
+                        say(
+                            "no second payment",
+                            *at,
+                            format!("{id} began {times} times, now at worker {worker}"),
+                        );
+                    }
+                }
+                Seen::Resumed(dispatcher) => {
+                    resumed.insert(*dispatcher, *at);
+                    told.iter_mut().filter(|t| t.0.0 == *dispatcher).for_each(|t| *t.1 = *at);
+                }
+                Seen::Told(dispatcher, worker) => _ = told.entry((*dispatcher, *worker)).or_insert(*at),
+                Seen::SentBy(dispatcher, worker) => {
+                    if let Some(since) = told.get(&(*dispatcher, *worker)).filter(|t| at - **t > slack.drain)
+                    {
+                        let late = (at - since) / 1000;
+                        say(
+                            "drain",
+                            *at,
+                            format!("dispatcher {dispatcher} sent to worker {worker} {late} ms after told"),
+                        );
+                    }
+                }
+                _ => {}
+            }
+        }
+        let end = self.0.last().map_or(0, |l| l.0);
+        for (id, (_, deadline, answers)) in asked {
+            if answers == 0 && end > deadline + slack.answer {
+                say("one answer", deadline, format!("{id} was never answered"));
+            }
+        }
+        if let Some((share, worker, at)) = self.fullest(slack).filter(|f| f.0 > 1.0) {
+            say(
+                "cold budget",
+                at,
+                format!("worker {worker} was sent {share:.2} of what it bears while cold"),
+            );
+        }
+        broken
+    }
+
+    /// The most that a cold worker was sent in one span, over what it bore then.
+    pub fn fullest(&self, slack: Slack) -> Option<Fullest> {
+        let mut boots: HashMap<usize, (Micros, f64, f64, Micros)> = HashMap::new();
+        let mut sends: HashMap<usize, Vec<Micros>> = HashMap::new();
+        let mut most: Option<Fullest> = None;
+        for (at, seen) in &self.0 {
+            match seen {
+                Seen::Booted(w, bears, warm, cold) => _ = boots.insert(*w, (*at, *bears, *warm, *cold)),
+                Seen::Sent(w, _) => {
+                    let Some((boot, bears, warm, cold)) = boots.get(w).filter(|b| at - b.0 < b.3) else {
+                        continue;
+                    };
+                    let sent = sends.entry(*w).or_default();
+                    sent.retain(|s| at - s < slack.fall);
+                    sent.push(*at);
+                    let from = (at - slack.fall - boot).max(0) as f64 / *cold as f64;
+                    let share = sent.len() as f64 / (bears + (warm - bears) * from);
+                    if most.is_none_or(|m| share > m.0) {
+                        most = Some((share, *w, *at));
+                    }
+                }
+                _ => {}
+            }
+        }
+        most
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scenario.rs
@@ -0,0 +1,225 @@
+//! A scenario as data: one TOML each.
+
+use crate::links::{Cut, Group};
+use crate::list::{Failure, Outage};
+use crate::worker::Kind;
+use serde::{Deserialize, Serialize};
+
+/// Who, what, from when, until when.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// What it is about, in a sentence.
+    pub about: String,
+    /// Dispatchers; the command line may say another number, and workers follow in proportion.
+    pub processes: usize,
+    /// Workers.
+    pub workers_n: usize,
+    /// How long clients come, in seconds; then what is out may end.
+    pub seconds: f64,
+    /// Requests a second for each process told.
+    pub rate: f64,
+    /// Share of them that must not run twice.
+    #[serde(default = "fifth")]
+    pub pay_share: f64,
+    /// `fleetSize` as told, over the processes there are.
+    #[serde(default = "one")]
+    pub fleet_told: f64,
+    /// The starts are spread over so long, in seconds.
+    #[serde(default)]
+    pub start_over_s: f64,
+    /// All workers start with the run, cold.
+    #[serde(default)]
+    pub all_cold: bool,
+    /// The dispatchers come up with the list as of the start.
+    #[serde(default)]
+    pub known: bool,
+    /// The list service.
+    #[serde(default)]
+    pub list: Service,
+    /// The workers.
+    #[serde(default)]
+    pub workers: Kind,
+    /// The clients.
+    #[serde(default)]
+    pub clients: Clients,
+    /// Faults of links.
+    #[serde(default, rename = "cut")]
+    pub cuts: Vec<Cut>,
+    /// What happens to whom.
+    #[serde(default, rename = "event")]
+    pub events: Vec<Event>,
+    /// What must hold beside the rules.
+    #[serde(default)]
+    pub expect: Expect,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn fifth() -> f64 {
+    0.2
+}
+
+/// The list service's figures.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Service {
+    /// What a call takes it, in milliseconds; one after another.
+    pub call_ms: f64,
+    /// Who waits longer, in seconds, is turned away.
+    pub wait_s: f64,
+    /// How.
+    pub failure: Failure,
+    /// It works on calls that it has turned away, too.
+    pub works_on_late_calls: bool,
+    /// When it is out.
+    #[serde(rename = "outage")]
+    pub outages: Vec<Outage>,
+}
+
+impl Default for Service {
+    fn default() -> Service {
+        let failure = Failure::default();
+        Service { call_ms: 5.0, wait_s: 2.0, failure, works_on_late_calls: false, outages: Vec::new() }
+    }
+}
+
+/// The clients' habits.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Clients {
+    /// Share of refusals after which one comes again.
+    pub again: f64,
+    /// It waits as `Retry-After` says; else 20 ms.
+    pub heed: bool,
+}
+
+impl Default for Clients {
+    fn default() -> Clients {
+        Clients { again: 0.8, heed: true }
+    }
+}
+
+/// What happens at a time.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Event {
+    /// When, in seconds since the start.
+    pub at_s: f64,
+    /// To whom.
+    pub who: Group,
+    /// What.
+    pub what: Happens,
+}
+
+/// What may happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Happens {
+    /// A dispatcher or worker is killed.
+    Kill,
+    /// A dispatcher is started again, with nothing but its folder; a worker boots, cold, and is listed so.
+    Start,
+    /// A dispatcher is told to end.
+    Term,
+    /// A dispatcher is stopped.
+    Stop,
+    /// A dispatcher goes on.
+    Continue,
+    /// A worker is listed as draining.
+    Drain,
+    /// A worker is listed as gone, and killed.
+    Gone,
+    /// All watches end at once.
+    EndWatches,
+}
+
+/// What a scenario wants beside the rules; a figure that is missing is not asked for.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Expect {
+    /// Calls to the list service, over the processes.
+    pub calls_each: Option<f64>,
+    /// Of them failed, in all.
+    pub failed_calls: Option<usize>,
+    /// The last first list, in seconds after its dispatcher's start.
+    pub listed_s: Option<f64>,
+    /// Least share in time, of all requests.
+    pub in_time: Option<f64>,
+}
+
+impl Scenario {
+    /// Reads one.
+    pub fn parse(text: &str) -> Result<Scenario, String> {
+        let scenario: Scenario = toml::from_str(text).map_err(|e| e.to_string())?;
+        let wrong = |key: &str, why: &str| Err(format!("{}: {key} {why}", scenario.name));
+        if scenario.processes == 0 || scenario.workers_n == 0 {
+            return wrong("processes and workers_n", "must be at least 1");
+        }
+        if !(scenario.seconds > 0.0 && scenario.seconds <= 600.0) {
+            return wrong("seconds", "must be between 0 and 600");
+        }
+        if !(scenario.rate >= 0.0 && scenario.rate <= 1000.0) {
+            return wrong("rate", "must be between 0 and 1000 requests a second");
+        }
+        if scenario.fleet_told.is_nan() || scenario.fleet_told <= 0.0 {
+            return wrong("fleet_told", "must be above 0");
+        }
+        Ok(scenario)
+    }
+
+    /// The same with another number of processes: workers and groups follow in proportion, calls don't.
+    pub fn sized(mut self, processes: usize) -> Scenario {
+        let scale = processes as f64 / self.processes as f64;
+        let workers = ((self.workers_n as f64 * scale).round() as usize).max(1);
+        let by = |group: &mut Group| {
+            group.scale(processes as f64 / self.processes as f64, workers as f64 / self.workers_n as f64)
+        };
+        self.cuts.iter_mut().for_each(|c| {
+            by(&mut c.from);
+            by(&mut c.to);
+        });
+        self.events.iter_mut().for_each(|e| by(&mut e.who));
+        (self.processes, self.workers_n) = (processes, workers);
+        self
+    }
+
+    /// The settings that a dispatcher gets.
+    pub fn settings(&self, me: usize) -> serde_json::Value {
+        let kind = &self.workers;
+        let cold_share = if kind.cold_s > 0.0 { kind.cold_share } else { 1.0 };
+        let told = ((self.processes as f64 * self.fleet_told).round() as usize).max(1);
+        serde_json::json!({
+            "fleetSize": told, "me": me, "zone": "a", "zones": ["a"], "kinds": ["m"], "discovery": "subscribe", "tickS": 0.005,
+            "lanes": [
+                {"name": "look", "worth": 1, "lateValue": 0.3, "promiseS": crate::clients::PROMISE_S, "giveUpS": 5, "effect": "safe"},
+                {"name": "pay", "worth": 2, "lateValue": 0.5, "promiseS": crate::clients::PROMISE_S, "giveUpS": 10, "effect": "unsafe"}],
+            "limits": {"cancel": true, "sendCap": 4, "connIdleS": 15, "connectTimeoutS": 0.5, "maxStreams": 1,
+                "retryAfter": true, "maxRetryAfterS": 2},
+            "reporting": {"fields": ["x0"]},
+            "familyInfo": {"classStretch": [2, 2], "tellsStart": true, "progressS": 0, "reportX0": "free slots",
+                "reportX1": "free memory"},
+            "safety": {"askWithinS": 10, "coldS": kind.cold_s, "coldShare": cold_share,
+                "fallMultiple": kind.fall_multiple, "fallS": 1, "graceToAnswerS": 0.02},
+        })
+    }
+}
+
+macro_rules! scenarios {
+    ($($name:literal),* $(,)?) => {
+        /// The scenarios that come with the rig.
+        pub fn all() -> Vec<Scenario> {
+            let texts = [$(include_str!(concat!("../scenarios/", $name, ".toml"))),*];
+            texts.iter().map(|t| Scenario::parse(t).unwrap_or_else(|e| panic!("a scenario of the rig: {e}"))).collect()
+        }
+    };
+}
+
+scenarios! {
+    "cold-start", "old-list", "slow-list", "late-list", "list-out", "watches-end", "cut-half", "staggered", "tenth-starts", "stopped",
+    "crash-loop", "few-connections", "drain", "herd-clients", "term-early",
+}
--- /dev/null
+++ b/dispatcher/tests/rig.rs
@@ -0,0 +1,30 @@
+//! Several dispatchers as processes, with faults between them: each scenario of the rig at its small size.
+
+use roselock_rig::run::{Options, play};
+use roselock_rig::scenario::all;
+use rstest::rstest;
+
+#[rstest]
+#[case("cold-start")]
+#[case("old-list")]
+#[case("slow-list")]
+#[case("late-list")]
+#[case("list-out")]
+#[case("watches-end")]
+#[case("cut-half")]
+#[case("staggered")]
+#[case("tenth-starts")]
+#[case("stopped")]
+#[case("crash-loop")]
+#[case("few-connections")]
+#[case("drain")]
+#[case("herd-clients")]
+#[case("term-early")]
+fn the_rules_hold(#[case] name: &str) {
+    // A seed that failed is given back in RIG_SEED.
+    let seed = std::env::var("RIG_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
+    let scenario = all().into_iter().find(|s| s.name == name).expect("a scenario of the rig");
+    let options = Options { program: env!("CARGO_BIN_EXE_roselock").into(), seed };
+    let report = play(scenario, options).unwrap_or_else(|why| panic!("{name}, seed {seed}: {why}"));
+    assert!(report.kept(), "{name}, seed {seed}: {:#?}", report);
+}
