Tell the stage of the start, its calls and its first list; a [start] section

Need: an on-call person could not tell a dispatcher that serves by the list of before from one whose list is confirmed, nor see calls to the list service fail. A pure part (startup::stage) follows the calls, words and breaks; STATUS, METRICS, the log and GET /health/ready (as its body) tell it. [start] list_call_ms sets the first guess of the pace, checked by check-config with file, line, key and cure. Left out: readiness does not wait for the confirmed list, since a site whose list service is down would then have no dispatcher at all.

--- a/crates/operation/src/figures.rs
+++ b/crates/operation/src/figures.rs
@@ -1,8 +1,9 @@
 //! The figures that `METRICS` shows: counted where each event happens, with atomics that nobody locks.
 
+use roselock_startup::stage::{Stage, Start};
 use serde::Serialize;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI64, AtomicU8, AtomicU64, Ordering};
 
 /// The counts of one class, from the start of the process.
 #[derive(Default)]
@@ -38,6 +39,22 @@
     pub cluster_size: AtomicU64,
     /// Those of them that are avoided, by hand or by choice.
     pub cluster_unhealthy: AtomicU64,
+    /// How far the start has come, and the calls to the list service, of them failed; the owner sets them.
+    stage: AtomicU8,
+    list_calls: AtomicU64,
+    list_failed: AtomicU64,
+    /// How long after the start the first list came, in milliseconds; less than 0 before.
+    confirmed_ms: AtomicI64,
+}
+
+/// The start as shown.
+#[derive(Serialize)]
+struct ShownStart {
+    stage: &'static str,
+    list_calls: u64,
+    list_calls_failed: u64,
+    /// Seconds.
+    confirmed_after_s: Option<f64>,
 }
 
 /// The figures of a class as shown.
@@ -57,6 +74,7 @@
     current: i64,
     cluster_size: u64,
     cluster_unhealthy: u64,
+    start: ShownStart,
 }
 
 impl Figures {
@@ -69,6 +87,10 @@
             current: AtomicI64::new(0),
             cluster_size: AtomicU64::new(0),
             cluster_unhealthy: AtomicU64::new(0),
+            stage: AtomicU8::new(0),
+            list_calls: AtomicU64::new(0),
+            list_failed: AtomicU64::new(0),
+            confirmed_ms: AtomicI64::new(-1),
         }
     }
     /// Counts a stream that was taken.
@@ -103,6 +125,17 @@
         self.cluster_size.store(size as u64, Ordering::Relaxed);
         self.cluster_unhealthy.store(unhealthy as u64, Ordering::Relaxed);
     }
+    /// Sets how far the start has come; `first` is how long after it the first list came, in microseconds, once.
+    pub fn start(&self, start: &Start, first: Option<i64>) {
+        self.stage.store(start.stage() as u8, Ordering::Relaxed);
+        self.list_calls.store(start.calls, Ordering::Relaxed);
+        self.list_failed.store(start.failed, Ordering::Relaxed);
+        first.iter().for_each(|us| self.confirmed_ms.store(us / 1000, Ordering::Relaxed));
+    }
+    /// How far the start has come.
+    pub fn stage(&self) -> Stage {
+        Stage::of(self.stage.load(Ordering::Relaxed))
+    }
     /// The line that `METRICS` shows, without its end.
     pub fn render(&self) -> String {
         let get = |count: &AtomicU64| count.load(Ordering::Relaxed);
@@ -122,6 +155,14 @@
             current: self.current.load(Ordering::Relaxed).max(0),
             cluster_size: get(&self.cluster_size),
             cluster_unhealthy: get(&self.cluster_unhealthy),
+            start: ShownStart {
+                stage: self.stage().words(),
+                list_calls: get(&self.list_calls),
+                list_calls_failed: get(&self.list_failed),
+                confirmed_after_s: Some(self.confirmed_ms.load(Ordering::Relaxed))
+                    .filter(|ms| *ms >= 0)
+                    .map(|ms| ms as f64 / 1e3),
+            },
         };
         serde_json::to_string(&all).unwrap_or_else(|_| "{}".to_owned())
     }
@@ -142,6 +183,10 @@
         figures.sent(1);
         figures.sent(7);
         figures.cluster(5, 2);
+        let mut start = Start::begin(0, true);
+        start.called();
+        let first = start.told(1_500_000);
+        figures.start(&start, first);
         let shown: serde_json::Value = serde_json::from_str(&figures.render()).unwrap();
         let want = serde_json::json!({
             "transactions": {
@@ -149,6 +194,7 @@
                 "pay": {"answered": 0, "deferred": 1, "errored": 1, "sends": 2},
             },
             "sends": 2, "current": 1, "cluster_size": 5, "cluster_unhealthy": 2,
+            "start": {"stage": "list confirmed", "list_calls": 1, "list_calls_failed": 0, "confirmed_after_s": 1.5},
         });
         assert_eq!(shown, want);
     }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -40,6 +40,9 @@
     /// what a call takes the list service, in milliseconds
     #[argh(option)]
     call_ms: Option<f64>,
+    /// an operators' file for the program, not for the other build
+    #[argh(option)]
+    operator: Option<PathBuf>,
     /// for everything that is drawn (default: 1)
     #[argh(option, default = "1")]
     seed: u64,
@@ -118,6 +121,11 @@
             for (i, program) in programs.iter().enumerate() {
                 let mut scenario = scenario.clone().sized(run.processes.unwrap_or(scenario.processes));
                 scenario.list.call_ms = run.call_ms.unwrap_or(scenario.list.call_ms);
+                if let Some(path) = run.operator.as_ref().filter(|_| i == 0) {
+                    let text =
+                        std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+                    scenario.operator = Some(text);
+                }
                 if i > 0 {
                     scenario.name += " (against)";
                 }
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -64,6 +64,11 @@
         std::fs::write(&path, config.to_string())?;
         let mut command = Command::new(program);
         command.arg("serve").arg("--config").arg(&path).env("TMPDIR", &tmp);
+        if let Some(operator) = &scenario.operator {
+            let path = place.folder.join("operator.toml");
+            std::fs::write(&path, operator)?;
+            command.arg("--operator").arg(path);
+        }
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
         let (tell, log) = channel();
         let stderr = child.stderr.take().map(BufReader::new);
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -51,6 +51,9 @@
     /// What happens to whom.
     #[serde(default, rename = "event")]
     pub events: Vec<Event>,
+    /// The text of the operators' file that the dispatchers get; none, and all parts are off.
+    #[serde(default)]
+    pub operator: Option<String>,
     /// What must hold beside the rules.
     #[serde(default)]
     pub expect: Expect,
--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -1,5 +1,6 @@
 //! How a dispatcher starts where hundreds start in the same second, without I/O, clock or randomness: times and
 //! drawn numbers are arguments. Nothing here decides on work; the decision module asks [`pace`] when to call the
-//! list service, on real sockets and in the simulator alike.
+//! list service, on real sockets and in the simulator alike; [`stage`] says how far a start has come.
 
 pub mod pace;
+pub mod stage;
--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -1,7 +1,7 @@
 //! The configuration that a dispatcher is started with.
 
-use super::log;
 use super::problem::{Place, Problem, parse};
+use super::{log, start};
 use crate::wire::discovery::List;
 use crate::wire::{gearman, ipfix};
 use roselock::settings::{Options, Site};
@@ -112,6 +112,8 @@
     gearman: Option<gearman::File>,
     #[serde(default)]
     ipfix: Option<ipfix::File>,
+    #[serde(default)]
+    start: start::File,
 }
 
 /// A file of settings that was read: its path, its text, and what its keys begin with.
@@ -166,7 +168,7 @@
         inner => serde_json::from_value(inner),
     }
     .map_err(|e| at(&format!("settings: {e}")))?;
-    let site = options.site().map_err(|e| at(&format!("settings: {e}")))?;
+    let mut site = options.site().map_err(|e| at(&format!("settings: {e}")))?;
     site.settings.check().map_err(|e| at(&format!("settings: {e}")))?;
     let seed = match &file.seed {
         serde_json::Value::String(hex) => {
@@ -175,6 +177,9 @@
         number => number.as_u64().unwrap_or(0),
     };
     let parts = parts(&files, file.limits, &site)?;
+    // What was checked with its file.
+    let told = parts.start.list_call().ok().flatten();
+    site.settings.list_call = told.unwrap_or(site.settings.list_call);
     Ok(Config {
         listen: address("listen", file.listen, "NODE_LISTEN")?,
         discovery: address("discovery", file.discovery, "NODE_DISCOVERY")?,
@@ -204,6 +209,9 @@
     if let (Some(text), Some(file)) = (&operator, &parts.ipfix) {
         ipfix::check(file).map_err(|e| text.at("ipfix.", &e))?;
     }
+    if let (Some(text), Err(problem)) = (&operator, parts.start.list_call()) {
+        return Err(text.at("start.", &problem));
+    }
     let twice = |part: &str| {
         format!("--{part}: the operators' file has a section [{part}], too; leave one of the two out")
     };
--- a/dispatcher/src/lifecycle/mod.rs
+++ b/dispatcher/src/lifecycle/mod.rs
@@ -7,3 +7,4 @@
 pub mod problem;
 pub mod relay;
 pub mod serve;
+pub mod start;
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -13,7 +13,6 @@
 use crate::wire::table::Table;
 use crate::wire::upstream::HttpDialer;
 use may::sync::mpsc::channel;
-use roselock::ListMode;
 use roselock::settings::fnv;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -66,7 +65,7 @@
         fleet,
     };
     let known = hosts(&config.known, &mut watch.site);
-    core.handle(Input::Hosts(fleet, ListMode::Complete, known));
+    core.came_up_with(fleet, known);
     may::go!(move || watch.run(&asked));
 
     let (listener, inherited) = listen(&config)?;
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -9,6 +9,7 @@
 use super::*;
 use roselock::settings::fnv;
 use roselock::{Action, Dispatcher, Effect, Event, JobId, JobIn, Listed, Note, Settings};
+use roselock_startup::stage::Start;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::mpsc::RecvTimeoutError;
@@ -167,6 +168,8 @@
     hand_seen: u64,
     told: std::collections::BTreeSet<WorkerId>,
     published: Micros,
+    /// How far the start has come.
+    start: Start,
 }
 
 impl Core {
@@ -200,9 +203,17 @@
             hand_seen: 0,
             told: Default::default(),
             published: 0,
+            start: Start::begin(now, false),
         }
     }
 
+    /// Takes the list that the process came up with, as of before its start.
+    pub fn came_up_with(&mut self, fleet: FleetId, hosts: Vec<ListedHost>) {
+        self.start = Start::begin(clock::now(), !hosts.is_empty());
+        self.operation.figures.start(&self.start, None);
+        self.list(fleet, ListMode::Complete, hosts);
+    }
+
     /// Passes call-backs of streams that are not here to the other process of an upgrade.
     pub fn set_relay(&mut self, relay: Box<dyn Relay>) {
         self.relay = Some(relay);
@@ -318,7 +329,10 @@
                 }
                 self.called_back(&call, &from, told, gauge);
             }
-            Input::Hosts(fleet, mode, hosts) => self.list(fleet, mode, hosts),
+            Input::Hosts(fleet, mode, hosts) => {
+                self.confirmed(fleet);
+                self.list(fleet, mode, hosts);
+            }
             Input::Room(fleet, worker, free) => {
                 let gauge = Gauge { free_slots: Some(free), ..Gauge::default() };
                 self.fleets[fleet].events.push(Event::Health { worker, ok: true, gauge });
@@ -329,6 +343,8 @@
             }
             Input::Feed => {}
             Input::WatchBroken(fleet) => {
+                self.start.broken();
+                self.operation.figures.start(&self.start, None);
                 let broken = Event::Fleet { mode: ListMode::Broken, entries: Vec::new() };
                 self.fleets[fleet].events.push(broken);
             }
@@ -770,7 +786,11 @@
             Action::Refuse { job, backoff } => self.answer(job.0, Answer::Refused(backoff)),
             Action::Fail { job } => self.answer(job.0, Answer::Failed),
             Action::Timer { after, token } => self.fleets[f].timers.push(Reverse((now + after, token))),
-            Action::Watch => self.fleets[f].dialer.iter().for_each(|d| d.watch()),
+            Action::Watch => {
+                self.start.called();
+                self.operation.figures.start(&self.start, None);
+                self.fleets[f].dialer.iter().for_each(|d| d.watch());
+            }
             Action::Probe(worker) => self.errand(f, worker, Ask::Probe, Some(Need::Errand), None),
             Action::Close(worker) => {
                 if let Some(host) = self.fleets[f].hosts.get_mut(&worker) {
--- a/dispatcher/src/memory/core/operation.rs
+++ b/dispatcher/src/memory/core/operation.rs
@@ -46,6 +46,19 @@
         self.operation.hand.told(generation);
     }
 
+    /// The list service has told of a fleet that it knows.
+    pub(super) fn confirmed(&mut self, f: FleetId) {
+        if self.fleets[f].dialer.is_none() {
+            return;
+        }
+        let first = self.start.told(clock::now());
+        if let Some(after) = first {
+            let (s, calls, failed) = (after as f64 / 1e6, self.start.calls, self.start.failed);
+            tracing::info!("list confirmed {s:.1} s after the start; calls {calls}, of them failed {failed}");
+        }
+        self.operation.figures.start(&self.start, first);
+    }
+
     /// Sets the figures of the list: the workers listed, and those of them that the decisions avoid.
     pub(super) fn publish(&mut self, now: Micros) {
         if now - self.published < PUBLISH {
--- a/dispatcher/src/wire/admin.rs
+++ b/dispatcher/src/wire/admin.rs
@@ -80,8 +80,15 @@
     };
     match call {
         Call::Status if admin.inbox.stopping().is_some() => "-ERR not ready: stopping\n".to_owned(),
-        Call::Status if !admin.inbox.able() => "-ERR not ready: no worker takes work yet\n".to_owned(),
-        Call::Status => "+OK ready\n".to_owned(),
+        Call::Status => {
+            let stage = admin.figures.stage().words();
+            let able = admin.inbox.able();
+            if able {
+                format!("+OK ready: {stage}\n")
+            } else {
+                format!("-ERR not ready: no worker takes work yet: {stage}\n")
+            }
+        }
         Call::Metrics => format!("{}\n.\n", admin.figures.render()),
         Call::Suspend(id) => change(admin, id, true),
         Call::Restore(id) => change(admin, id, false),
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -257,11 +257,11 @@
         match route(front, (message, bulk), (came, peer), (&socket, &mut writer, &mut stranger)) {
             Routed::Held(stream) => (pending, hello) = (Some(Pending { stream, close }), None),
             Routed::Shed => return,
-            Routed::Reply(status, more) => {
+            Routed::Reply(status, more, body) => {
                 // Whose first word made no sense need not stay.
                 let astray = hello.is_some() && (400..500).contains(&status);
                 let close = close || astray || front.inbox.parting();
-                if http::respond(&socket, status, more, b"", close, by(PARTING)).is_err() {
+                if http::respond(&socket, status, more, body.as_bytes(), close, by(PARTING)).is_err() {
                     return;
                 }
                 if close {
@@ -300,7 +300,7 @@
 enum Routed {
     Held(StreamId),
     Shed,
-    Reply(u16, &'static str),
+    Reply(u16, &'static str, &'static str),
 }
 
 fn route(
@@ -314,22 +314,22 @@
     match (method, path) {
         ("POST", callbacks::PATH) => {
             let known = callbacks::take(message.body(), &front.site, &front.inbox, front.inherited);
-            return Routed::Reply(if known { CALLED_BACK } else { 400 }, "");
+            return Routed::Reply(if known { CALLED_BACK } else { 400 }, "", "");
         }
         ("GET", "/health/ready") => {
             let ready = front.inbox.able() && front.inbox.stopping().is_none();
-            return Routed::Reply(if ready { 200 } else { 503 }, "");
+            return Routed::Reply(if ready { 200 } else { 503 }, "", front.figures.stage().words());
         }
         ("POST", _) => {}
-        (_, callbacks::PATH) => return Routed::Reply(405, "Allow: POST\r\n"),
-        (_, "/health/ready") => return Routed::Reply(405, "Allow: GET\r\n"),
-        _ => return Routed::Reply(404, ""),
+        (_, callbacks::PATH) => return Routed::Reply(405, "Allow: POST\r\n", ""),
+        (_, "/health/ready") => return Routed::Reply(405, "Allow: GET\r\n", ""),
+        _ => return Routed::Reply(404, "", ""),
     }
     let close = message.close;
-    let Some(new) = stream_of(front, message, from) else { return Routed::Reply(400, "") };
+    let Some(new) = stream_of(front, message, from) else { return Routed::Reply(400, "", "") };
     let Some(held) = Held::new(front, bulk) else {
         front.figures.ended(new.class.0 as usize, End::Deferred, false);
-        return Routed::Reply(503, after(503));
+        return Routed::Reply(503, after(503), "");
     };
     // Whose request is passed on has to stay for the answer.
     if stranger.take().is_some_and(|s| !s.keep()) {
--- a/dispatcher/tests/gearman_queue.rs
+++ b/dispatcher/tests/gearman_queue.rs
@@ -413,6 +413,8 @@
 #[case("[gearman]\nlisten = \"127.0.0.1:0\"\nmax_jbos = 7\n", &["line 3: max_jbos", "unknown field", "max_jobs"])]
 #[case("[log]\nlevel = \"loud\"\n", &["line 2: level", "unknown variant", "debug"])]
 #[case("[ipfix]\ncollector = \"127.0.0.1:1\"\ntemplate_refresh_s = 0.0\n", &["ipfix.template_refresh_s", "above 0"])]
+#[case("[start]\nlist_call_ms = 0.0\n", &["line 2: start.list_call_ms", "0 makes no sense", "from 1 to 1000"])]
+#[case("[start]\ncall_ms = 20.0\n", &["line 2: call_ms", "unknown field", "list_call_ms"])]
 #[case("[nonsense]\n", &["line 1", "unknown field", "gearman"])]
 fn a_bad_operators_file_is_explained(#[case] file: &str, #[case] words: &[&str]) {
     let (fine, said) = checked(file);
