--- /dev/null
+++ b/dispatcher/src/memory/core/attempts.rs
@@ -0,0 +1,205 @@
+//! Upstream requests: put on a connection, heard of, ended with one verdict, given up.
+
+use super::*;
+
+impl Core {
+    pub(super) fn heard(&mut self, id: UpstreamId, heard: Heard, link: LinkIs) {
+        let Some(up) = self.upstreams.get_mut(&id) else { return };
+        let (fleet, host) = (up.fleet, up.host);
+        let kept = up.idle.take_if(|_| link != LinkIs::Busy);
+        if let Some(idle) = kept {
+            let (trust, now) = (&mut self.fleets[fleet].trust, clock::now());
+            match heard {
+                Heard::Ended(Outcome::Reset, ..) | Heard::Broken => trust.broke(idle, now),
+                Heard::Taken | Heard::Ended(..) | Heard::Probed(..) => trust.worked(idle, now),
+                _ => {}
+            }
+        }
+        match link {
+            LinkIs::Busy => {}
+            LinkIs::Closed => up.link = None,
+            LinkIs::Free => {
+                let kept = up.link.take().filter(|l| !l.resident());
+                let ready = self.fleets[fleet].hosts.get_mut(&host);
+                let ready = ready.filter(|h| h.entry.state == Listed::Ready);
+                if let Some((link, host)) = kept.zip(ready) {
+                    host.pool.put(link, clock::now());
+                }
+            }
+        }
+        match heard {
+            Heard::Taken => {
+                up.taken = true;
+                if up.quit {
+                    self.withdraw(id);
+                }
+            }
+            Heard::Started => {
+                up.taken = true;
+                self.notice(id, Note::Started);
+            }
+            Heard::Progress(share) => self.notice(id, Note::Progress(share)),
+            Heard::Said(saying, bytes) => {
+                let stream =
+                    self.upstreams.get(&id).filter(|u| !u.ended).and_then(|u| self.streams.get(&u.stream));
+                stream.iter().for_each(|s| s.downstream.say(saying, &bytes));
+            }
+            Heard::Ended(outcome, gauge, body) => self.end(id, outcome, gauge, body),
+            Heard::Probed(ok, gauge) => {
+                self.fleets[fleet].events.push(Event::Health { worker: host, ok, gauge });
+            }
+            Heard::Withdrawn => {
+                let gone = self.upstreams.get_mut(&id).and_then(|u| u.withdraws.take());
+                if let Some(gone) = gone {
+                    self.end(gone, Outcome::Cancelled, Gauge::default(), Vec::new());
+                    self.drop_upstream(gone);
+                }
+            }
+            Heard::Broken => match self.upstreams.get_mut(&id).and_then(|u| u.errand.take()) {
+                // On a kept connection that tells nothing of the host: again, on a new one.
+                Some(ask) if kept.is_some() => {
+                    let withdraws = self.upstreams.get_mut(&id).and_then(|u| u.withdraws.take());
+                    self.errand(fleet, host, ask, None, withdraws);
+                }
+                Some(Ask::Probe) => self.unanswered(fleet, host),
+                _ => {}
+            },
+            Heard::Nothing => {}
+        }
+        self.withdraw_later(id);
+        let lost = |u: &Upstream| u.link.is_none() && !u.taken && !u.ended;
+        if self.upstreams.get(&id).is_some_and(lost) {
+            self.end(id, Outcome::Reset, Gauge::default(), Vec::new());
+        }
+        self.drop_upstream(id);
+    }
+
+    pub(super) fn drop_upstream(&mut self, id: UpstreamId) {
+        if self.upstreams.get(&id).is_some_and(|u| u.ended && u.link.is_none()) {
+            self.upstreams.remove(&id);
+        }
+    }
+
+    pub(super) fn called_back(&mut self, call: &str, from: &str, told: Told, gauge: Gauge) {
+        // Of a former life, of another stream, of an attempt that is over: not ours to heed.
+        let stream = self.calls.get(call).and_then(|id| self.streams.get(id));
+        let Some((stream, id)) = stream.and_then(|s| Some((s, s.out?))) else {
+            tracing::debug!(id = call, from, "call-back of no attempt that is out here");
+            return;
+        };
+        let up = &self.upstreams[&id];
+        if self.fleets[up.fleet].hosts.get(&up.host).is_none_or(|h| h.uid != from) {
+            return;
+        }
+        // A repeat of the word that ended the attempt before, at the same host, says nothing of this one.
+        let repeat = stream.handed_back.is_some_and(|(host, _)| host == up.host) && !up.taken;
+        match told {
+            Told::Started => self.notice(id, Note::Started),
+            Told::Progress(share) => self.notice(id, Note::Progress(share)),
+            Told::Ended(Outcome::Full, _) if repeat => {}
+            Told::Ended(outcome, body) => self.end(id, outcome, gauge, body),
+        }
+        self.drop_upstream(id);
+    }
+
+    pub(super) fn notice(&mut self, id: UpstreamId, note: Note) {
+        let Some(up) = self.upstreams.get(&id).filter(|u| !u.ended) else { return };
+        let (job, round) = (JobId(up.stream), up.round);
+        self.fleets[up.fleet].events.push(Event::Notice { job, round, note });
+        let stream = self.streams.get(&up.stream).filter(|s| !s.answered);
+        stream.iter().for_each(|s| match note {
+            Note::Started => s.downstream.running(true),
+            Note::Progress(share) => s.downstream.progress(share),
+        });
+    }
+
+    /// The one place where an attempt ends.
+    pub(super) fn end(&mut self, id: UpstreamId, outcome: Outcome, gauge: Gauge, body: Vec<u8>) {
+        let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended) else { return };
+        up.ended = true;
+        let (job, round, fleet, host) = (up.stream, up.round, up.fleet, up.host);
+        let Some(stream) = self.streams.get_mut(&job) else { return };
+        stream.out = None;
+        stream.downstream.running(false);
+        stream.timed_out = outcome == Outcome::Timeout;
+        let unproven = self.fleets[fleet].set.safety.full_unproven;
+        stream.ran += !outcome.never_ran(unproven) as u32;
+        if outcome == Outcome::Full {
+            stream.handed_back = Some((host, clock::now()));
+        }
+        let last = stream.answered || outcome == Outcome::Ok;
+        let verdict = Event::Verdict { job: JobId(job), round, outcome, last, gauge };
+        self.fleets[fleet].events.push(verdict);
+        if outcome == Outcome::Ok {
+            self.answer(job, Answer::Served(body));
+        }
+        self.forget(job);
+    }
+
+    /// Stops an attempt: before it is taken by closing its connection, afterwards by a word to the host.
+    pub(super) fn give_up(&mut self, id: UpstreamId, outcome: Outcome) {
+        let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended) else { return };
+        let (fleet, host, stream, taken) = (up.fleet, up.host, up.stream, up.taken);
+        let resident = up.link.as_ref().is_some_and(|l| l.resident());
+        if resident && !taken {
+            // It may be taking it just now: it tells whether it did.
+            return up.link.iter().for_each(|l| l.abort(id));
+        }
+        if !taken || resident {
+            up.link.take().iter().for_each(|l| l.abort(id));
+        }
+        let payload = self.streams.get(&stream).map(|s| s.payload.clone());
+        self.end(id, outcome, Gauge::default(), Vec::new());
+        self.drop_upstream(id);
+        if let Some(payload) = payload.filter(|_| taken && !resident) {
+            self.errand(fleet, host, Ask::Withdraw(payload), Some(Need::Errand), None);
+        }
+    }
+
+    /// Puts an upstream request on a connection, an idle one if there is one. False if there is none to have.
+    pub(super) fn launch(
+        &mut self,
+        mut up: Upstream,
+        ask: Ask,
+        deadline: Micros,
+        need: Option<Need>,
+    ) -> bool {
+        let runs = matches!(ask, Ask::Run(_)).then(|| self.streams.get(&up.stream)).flatten();
+        let class = runs.map(|s| s.class.0 as usize);
+        let fleet = &mut self.fleets[up.fleet];
+        let now = clock::now();
+        let id = self.next_upstream;
+        let connect_by = now + fleet.set.limits.connect_timeout;
+        let request = UpstreamRequest { id, ask, connect_by, deadline, class };
+        let Some(host) = fleet.hosts.get_mut(&up.host) else { return false };
+        let link = match (&host.link, host.endpoint) {
+            (Some(link), _) => Some(link.clone()),
+            (None, None) => None,
+            (None, Some(endpoint)) => match need.and_then(|n| host.pool.take(fleet.trust.since(now, n), n)) {
+                Some((since, link)) => {
+                    up.idle = Some(now - since);
+                    Some(link)
+                }
+                None if fleet.dialer.as_ref().is_some_and(|d| d.room(&request.ask)) => {
+                    self.next_upstream += 1;
+                    up.link = fleet.dialer.as_ref().map(|d| d.dial(endpoint, request));
+                    self.upstreams.insert(id, up);
+                    return true;
+                }
+                None => {
+                    // No descriptor to spare: an idle connection elsewhere makes room for the next try.
+                    fleet.hosts.values_mut().any(|h| h.pool.shed());
+                    None
+                }
+            },
+        };
+        let Some(link) = link else { return false };
+        if !link.start(request) {
+            return false;
+        }
+        self.next_upstream += 1;
+        up.link = Some(link);
+        self.upstreams.insert(id, up);
+        true
+    }
+}
--- /dev/null
+++ b/dispatcher/src/memory/core/hosts.rs
@@ -0,0 +1,70 @@
+//! Upstream hosts: the list, and their idle connections.
+
+use super::*;
+
+impl Core {
+    pub(super) fn list(&mut self, f: FleetId, mode: ListMode, hosts: Vec<ListedHost>) {
+        self.operation.hand.listed(hosts.iter().map(|h| h.uid.as_str()));
+        // What a host that came to us took no notice of before it left has not run.
+        for listed in hosts.iter().filter(|h| h.entry.state == Listed::Gone && h.endpoint.is_none()) {
+            let here = |u: &Upstream| u.fleet == f && u.host == listed.entry.worker && !u.taken && !u.ended;
+            let unseen: Vec<_> = self.upstreams.iter().filter(|u| here(u.1)).map(|u| *u.0).collect();
+            for id in unseen {
+                self.heard(
+                    id,
+                    Heard::Ended(Outcome::ConnectFailed, Gauge::default(), Vec::new()),
+                    LinkIs::Closed,
+                );
+            }
+        }
+        let fleet = &mut self.fleets[f];
+        if mode == ListMode::Complete {
+            for (id, host) in &mut fleet.hosts {
+                if !hosts.iter().any(|h| h.entry.worker == *id) {
+                    host.entry.state = Listed::Gone;
+                    host.pool.clear();
+                }
+            }
+        }
+        let mut entries = Vec::with_capacity(hosts.len());
+        for listed in hosts {
+            entries.push(listed.entry.clone());
+            let host = fleet.hosts.entry(listed.entry.worker).or_insert_with(|| Host {
+                uid: listed.uid.clone(),
+                endpoint: None,
+                pool: Pool::default(),
+                link: None,
+                entry: listed.entry.clone(),
+            });
+            let restarted = listed.entry.up_since > host.entry.up_since;
+            if restarted || listed.endpoint != host.endpoint || listed.entry.state != Listed::Ready {
+                host.pool.clear();
+            }
+            (host.endpoint, host.entry) = (listed.endpoint, listed.entry);
+            host.link = listed.link;
+        }
+        let gone = |h: &Host| h.entry.state == Listed::Gone;
+        if fleet.hosts.values().filter(|h| gone(h)).count() > GONE_HOSTS {
+            fleet.hosts.retain(|_, h| !gone(h));
+        }
+        fleet.events.push(Event::Fleet { mode, entries });
+        let mut hosts = self.fleets.iter().flat_map(|f| f.hosts.values());
+        self.inbox.set_able(hosts.any(|h| h.entry.state == Listed::Ready));
+    }
+
+    /// Closes connections well before their hosts would.
+    pub(super) fn sweep(&mut self, now: Micros) {
+        if now - self.swept < 500_000 {
+            return;
+        }
+        self.swept = now;
+        for fleet in &mut self.fleets {
+            let since = now - told_idle(&fleet.set);
+            let trusted = fleet.trust.since(now, Need::Repeatable);
+            for host in fleet.hosts.values_mut() {
+                host.pool.expire(since);
+                host.pool.thin(trusted);
+            }
+        }
+    }
+}
