--- a/crates/startup/examples/pace.rs
+++ b/crates/startup/examples/pace.rs
@@ -75,9 +75,9 @@
 
 fn main() {
     println!(
-        "| all | call ms | late calls are served | guess ms | | calls | failed | queue | p50 s | p99 s |"
+        "| all | call ms | late calls are served | guess ms | | calls | failed | queue | mean s | p50 s | p99 s |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     for all in [50, 150, 300] {
         for call in [5, 20, 80, 200] {
             for late in [false, true] {
@@ -93,11 +93,13 @@
                             })
                         };
                         println!(
-                            "| {all} | {call} | {late} | {guess} | {} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} |",
+                            "| {all} | {call} | {late} | {guess} | {} | {:.0} | {:.0} | {:.0} | {:.1} | {:.1} | {:.1} |",
                             if rounds == 1 { "start" } else { "all watches broke" },
                             mean(&|s| s.calls as f64),
                             mean(&|s| s.failed as f64),
                             mean(&|s| s.queue as f64),
+                            mean(&|s| s.lists.iter().map(|l| *l as f64 / 1e6).sum::<f64>()
+                                / s.lists.len() as f64),
                             at(0.5),
                             at(0.99)
                         );
--- a/crates/startup/src/pace.rs
+++ b/crates/startup/src/pace.rs
@@ -45,9 +45,9 @@
         (f64::from(self.me) * GOLDEN).fract()
     }
     /// The length of a round at so much time a call, within what binds.
-    fn length(&self, call: Micros, failed: bool) -> Micros {
+    fn length(&self, call: Micros, times: Micros) -> Micros {
         let time = f64::from(self.all) * call as f64;
-        (time as Micros).min(self.within * 4 / 5 * if failed { AFTER_FAILURE } else { 1 })
+        (time as Micros).min(self.within * 4 / 5 * times)
     }
 }
 
@@ -79,7 +79,7 @@
 
     /// How long to wait before the first call.
     pub fn first(&mut self, round: Round) -> Micros {
-        self.at(round, round.place(), false)
+        self.at(round, round.place(), 1)
     }
 
     /// A call begins.
@@ -103,6 +103,7 @@
     pub fn broken(&mut self, now: Micros, round: Round, draw: f64) -> Micros {
         let pause = self.pause;
         let failed = self.since.take();
+        let mut times = 1;
         let place = match failed {
             Some(since) => {
                 let waited = (now - since).max(0);
@@ -116,7 +117,11 @@
                 // Those that failed together come again at other places, beside others. Whose second call in a row
                 // waited in vain leaves most of a round out: drawn from all of it, the next one would come after half
                 // a round on average, and the service be called twice as often as the round says.
+                // The first time in a round half as long as what binds: most services cost nothing for a call that they
+                // turned away, and a dispatcher without a list serves nobody.
+                times = AFTER_FAILURE / 2;
                 if std::mem::replace(&mut self.waited, waited >= AT_ONCE) && self.waited {
+                    times = AFTER_FAILURE;
                     AGAIN.start + draw * (AGAIN.end - AGAIN.start)
                 } else {
                     draw
@@ -126,12 +131,12 @@
             None => round.place(),
         };
         // At least the pause is spread over, where one is alone or calls take no time.
-        let spread = ((pause as f64 * place) as Micros).max(self.at(round, place, failed.is_some()));
+        let spread = ((pause as f64 * place) as Micros).max(self.at(round, place, times));
         pause + spread
     }
 
-    fn at(&mut self, round: Round, place: f64, failed: bool) -> Micros {
+    fn at(&mut self, round: Round, place: f64, times: Micros) -> Micros {
         self.ahead = place * f64::from(round.all);
-        (round.length(self.call, failed) as f64 * place) as Micros
+        (round.length(self.call, times) as f64 * place) as Micros
     }
 }
