--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -110,6 +110,7 @@
 }
 
 fn run_all(run: RunOne) -> Result<bool, String> {
+    roselock_rig::run::end_with_signals().map_err(|e| e.to_string())?;
     let me = std::env::current_exe().map_err(|e| e.to_string())?;
     let program = run.program.clone().unwrap_or_else(|| program_beside(&me));
     let mut programs = vec![program];
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -3,10 +3,12 @@
 use crate::scenario::Scenario;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
 use std::time::{Duration, Instant};
 
@@ -28,10 +30,27 @@
     pub admin: SocketAddr,
     /// Its list service.
     pub list: SocketAddr,
+    /// Where the list service is after it has moved.
+    pub moved: SocketAddr,
     /// Its own folder.
     pub folder: PathBuf,
 }
 
+/// The ids of those that run.
+static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+
+fn running() -> std::sync::MutexGuard<'static, BTreeSet<u32>> {
+    RUNNING.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Ends all that run, by their ids; none can be started after it.
+pub fn kill_all() {
+    let running = running();
+    running.iter().for_each(|id| _ = kill(Pid::from_raw(*id as i32), Signal::SIGKILL));
+    // Who still starts one waits here until the process ends.
+    std::mem::forget(running);
+}
+
 /// A dispatcher that runs.
 pub struct Process {
     child: Child,
@@ -69,7 +88,10 @@
             std::fs::write(&path, operator)?;
             command.arg("--operator").arg(path);
         }
+        let mut ids = running();
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
+        ids.insert(child.id());
+        drop(ids);
         let (tell, log) = channel();
         let stderr = child.stderr.take().map(BufReader::new);
         let reader = std::thread::Builder::new().stack_size(64 * 1024);
@@ -119,9 +141,26 @@
             .map_err(|e| format!("n{}: {signal}: {e}", self.place.number))
     }
 
+    /// Writes the list service's other address into its configuration, and has it read again.
+    pub fn move_list(&mut self) -> Result<(), String> {
+        let path = self.place.folder.join("config.json");
+        let place = &self.place;
+        let moved = std::fs::read_to_string(&path)
+            .map(|text| text.replace(&format!("\"{}\"", place.list), &format!("\"{}\"", place.moved)))
+            .and_then(|text| std::fs::write(&path, text));
+        moved.map_err(|e| format!("n{}: {e}", place.number))?;
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Whether it has ended.
     pub fn ended(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)) | Err(_))
+        // Waited for within the lock: once it was, another process may have its id.
+        let mut ids = running();
+        let ended = matches!(self.child.try_wait(), Ok(Some(_)) | Err(_));
+        if ended {
+            ids.remove(&self.child.id());
+        }
+        ended
     }
 
     /// Its memory in MB and its descriptors, as the system counts them.
@@ -141,6 +180,8 @@
     /// Ends it at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
+        // No other process can have its id before it was waited for.
+        running().remove(&self.child.id());
         let _ = self.child.wait();
     }
 }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -133,6 +133,8 @@
     Stop,
     /// A dispatcher goes on.
     Continue,
+    /// The list service has moved: the dispatcher's configuration says so, and it is told to read it again.
+    Move,
     /// A worker is listed as draining.
     Drain,
     /// A worker is listed as gone, and killed.
@@ -225,4 +227,5 @@
 scenarios! {
     "cold-start", "old-list", "slow-list", "late-list", "list-out", "watches-end", "cut-half", "staggered", "tenth-starts", "stopped",
     "crash-loop", "few-connections", "drain", "herd-clients", "term-early",
+    "cold-30", "list-restarts", "moved",
 }
