Take no word of staff for an answer of the list service

Found by reading the change once more: SUSPEND and RESTORE reach the list's code in the module, which closed the call under way and took its time for that of a call; the next failure then counted as none (0.33 s until the next call where 12.4 s were due). Ruled out: the list's own changes, which come this way and are answers. The call is closed where the list's event comes in. The golden ratio now stands once. Test: the same next call with and without words of staff; fails without the change.

--- a/crates/startup/src/pace.rs
+++ b/crates/startup/src/pace.rs
@@ -12,15 +12,14 @@
 
 const SECOND: Micros = 1_000_000;
 /// The golden ratio: its multiples, less their whole parts, lie evenly.
-const GOLDEN: f64 = 0.618_033_988_749_894_9;
+pub const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// Of a round, over the calls' own time, so that a queue that formed goes away.
 const MARGIN: f64 = 1.25;
 /// Bounds of the estimate.
 const LEAST: Micros = SECOND / 1000;
 const MOST: Micros = SECOND;
-/// Least wait after a break or a failure: first, and the longest as a share of the time that binds.
+/// Least wait after a break or a failure; a failed call doubles it.
 const PAUSE: Micros = SECOND / 4;
-
 /// A failure within this span says nothing of how long calls wait.
 const AT_ONCE: Micros = SECOND / 4;
 /// Where in a round a call comes after two in a row that waited in vain.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 use crate::api::*;
 pub use crate::state::Dispatcher;
 use crate::state::*;
-use roselock_startup::pace::Round;
+use roselock_startup::pace::{GOLDEN, Round};
 use std::collections::BTreeSet;
 
 const WINDOW: f64 = 256.0; // length of the payoff window in ticks, by which T is pushed on when it is reached
@@ -46,7 +46,6 @@
 const MISS_COST: f64 = 1.0; // of such a miss, in worths of the job
 const MAX_SCAN: usize = 64; // newest waiting jobs looked at in one pass: in an overload older ones are late
 const NEAR: [usize; 3] = [5, 3, usize::MAX]; // with room looked at: in our zone, beyond, our cold ones
-const GOLDEN: f64 = 0.618_033_988_749_894_9; // its multiples, less their whole parts, lie evenly
 const SHUN: Micros = 10 * SECOND; // no room for a lane at a worker that turned it away beside free slots
 const LINE: f64 = 0.25; // mean runs for which a job is held before one may stand in line
 const STALE: f64 = 0.25; // age, in mean runs, from which a figure of free room is checked by a probe
@@ -507,7 +506,6 @@
             out.push(Action::Timer { after: self.calls.broken(self.now, round, draw), token: WATCH_TOKEN });
             return;
         }
-        self.calls.answered(self.now);
         let mut changed = mode == ListMode::Complete;
         if changed {
             let listed: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -498,7 +498,13 @@
     /// Takes news of the workers: the list, or one taken out by hand or given back.
     pub(crate) fn listed(&mut self, event: &Event, out: &mut Vec<Action>) {
         match event {
-            Event::Fleet { mode, entries } => self.heed(*mode, entries, out),
+            Event::Fleet { mode, entries } => {
+                // News by hand are no answer of discovery.
+                if *mode != ListMode::Broken {
+                    self.calls.answered(self.now);
+                }
+                self.heed(*mode, entries, out);
+            }
             Event::Suspend { worker, out: by_hand } => self.suspend(*worker, *by_hand, out),
             _ => {}
         }
--- a/tests/by_hand.rs
+++ b/tests/by_hand.rs
@@ -54,3 +54,30 @@
     d.feed(&[suspend(0, false), suspend(2, false)]);
     assert!(work(&mut d, 100, 40).contains(&2));
 }
+
+/// Guards against a call to discovery that a word of staff answers: the pace took its time for that of a call.
+#[test]
+fn a_word_of_staff_is_no_answer_of_discovery() {
+    let next_call = |by_hand: bool| {
+        let mut set = settings();
+        (set.must_watch, set.fleet_size, set.me, set.safety.ask_within) = (true, 100, 7, 10 * SECOND);
+        let mut d = Dispatcher::new(set, 3).expect("sound settings");
+        let mut out = Vec::new();
+        d.step(0, &[fleet(3)], &mut out);
+        let token = |out: &[Action]| {
+            out.iter().rev().find_map(|a| match a {
+                Action::Timer { after, token } => Some((*after, *token)),
+                _ => None,
+            })
+        };
+        let call = token(&out).expect("a first call").1;
+        d.step(SECOND, &[Event::Alarm(call)], &mut out);
+        if by_hand {
+            d.step(SECOND + 1000, &[suspend(1, true), suspend(1, false)], &mut out);
+        }
+        out.clear();
+        d.step(3 * SECOND, &[Event::Fleet { mode: ListMode::Broken, entries: vec![] }], &mut out);
+        token(&out).expect("a further call").0
+    };
+    assert_eq!(next_call(true), next_call(false));
+}
