Rig: write a request down before it is sent, or no second payment is ever found

Now it is written before its first byte, the judge reads all requests before it judges, a job that no client asked for breaks a rule of its own (so the order shows itself), and a worker's new life ends the drain of its former.

--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -69,7 +69,15 @@
 /// One try: how it ended, and when to come back.
 fn one(world: &World, dispatcher: usize, pays: bool, deadline: Micros) -> (End, Option<f64>) {
     let id = format!("d{dispatcher}-{:x}", world.ids.fetch_add(1, Ordering::SeqCst));
-    let class = ["look", "pay"][pays as usize];
+    // Before its first byte: what a worker sees of it comes later.
+    world.note(Seen::Asked(id.clone(), !pays, deadline));
+    let (end, back) = exchange(world, dispatcher, &id, ["look", "pay"][pays as usize], deadline);
+    world.note(Seen::Ended(id, end));
+    (end, back)
+}
+
+/// Sends it and reads its answer.
+fn exchange(world: &World, dispatcher: usize, id: &str, class: &str, deadline: Micros) -> (End, Option<f64>) {
     // A kept connection that was closed meanwhile costs one more try on a new one, as in any client.
     for fresh in [false, true] {
         let kept = if fresh { None } else { world.pools[dispatcher].lock().ok().and_then(|mut p| p.pop()) };
@@ -93,8 +101,7 @@
         if reused && matches!(&answer, Ok(None)) {
             continue;
         }
-        world.note(Seen::Asked(id.clone(), !pays, deadline));
-        let (end, back) = match &answer {
+        let ended = match &answer {
             Ok(Some(answer)) => {
                 let made = answer.body == format!("made-{id}").as_bytes();
                 let back = answer.header("retry-after").and_then(|s| s.parse().ok());
@@ -109,13 +116,12 @@
             _ if world.killed(dispatcher) => (End::Failed, None),
             _ => (End::Lost, None),
         };
-        world.note(Seen::Ended(id, end));
         if matches!(&answer, Ok(Some(a)) if a.header("connection") != Some("close")) {
             if let Ok(mut pool) = world.pools[dispatcher].lock() {
                 pool.push(connection);
             }
         }
-        return (end, back);
+        return ended;
     }
     (End::NotTaken, None)
 }
--- a/crates/rig/src/ledger.rs
+++ b/crates/rig/src/ledger.rs
@@ -103,13 +103,18 @@
         let mut broken = Vec::new();
         let mut say =
             |rule, at: Micros, what: String| broken.push(Broken { rule, at_s: at as f64 / 1e6, what });
+        // Of the whole history first: no verdict may hang on who writes down first.
         let mut asked: HashMap<&str, (bool, Micros, u32)> = HashMap::new();
+        for (_, seen) in &self.0 {
+            if let Seen::Asked(id, twice, deadline) = seen {
+                asked.insert(id, (*twice, *deadline, 0));
+            }
+        }
         let mut began: HashMap<&str, u32> = HashMap::new();
         let mut resumed: HashMap<usize, Micros> = HashMap::new();
         let mut told: HashMap<(usize, usize), Micros> = HashMap::new();
         for (at, seen) in &self.0 {
             match seen {
-                Seen::Asked(id, twice, deadline) => _ = asked.insert(id, (*twice, *deadline, 0)),
                 Seen::Ended(id, end) => {
                     let Some((_, deadline, answers)) = asked.get_mut(id.as_str()) else { continue };
                     *answers += 1;
@@ -124,6 +129,13 @@
                 Seen::Began(worker, id) => {
                     let times = began.entry(id).or_insert(0);
                     *times += 1;
+                    if !asked.contains_key(id.as_str()) {
+                        say(
+                            "asked for",
+                            *at,
+                            format!("{id} began at worker {worker}, and no client asked for it"),
+                        );
+                    }
                     if *times > 1 && asked.get(id.as_str()).is_some_and(|a| !a.0) {
                         say(
                             "no second payment",
@@ -136,6 +148,8 @@
                     resumed.insert(*dispatcher, *at);
                     told.iter_mut().filter(|t| t.0.0 == *dispatcher).for_each(|t| *t.1 = *at);
                 }
+                // Its new life is listed as ready in the same moment.
+                Seen::Booted(worker, ..) => told.retain(|(_, w), _| w != worker),
                 Seen::Told(dispatcher, worker) => _ = told.entry((*dispatcher, *worker)).or_insert(*at),
                 Seen::SentBy(dispatcher, worker) => {
                     if let Some(since) = told.get(&(*dispatcher, *worker)).filter(|t| at - **t > slack.drain)
--- a/crates/rig/tests/ledger.rs
+++ b/crates/rig/tests/ledger.rs
@@ -37,6 +37,11 @@
     Some("one answer"))]
 #[case::never(vec![(SECOND, Seen::Asked("d0-3".into(), true, 2 * SECOND)), (4 * SECOND, Seen::Closed(0))], Some("one answer"))]
 #[case::paid_twice(vec![(SECOND, Seen::Began(1, "d0-1".into()))], Some("no second payment"))]
+#[case::paid_twice_and_written_down_late(vec![(SECOND, Seen::Began(0, "d0-9".into())), (SECOND + 1, Seen::Began(1, "d0-9".into())),
+    (2 * SECOND, Seen::Asked("d0-9".into(), false, 9 * SECOND)), (2 * SECOND, Seen::Ended("d0-9".into(), End::Served))],
+    Some("no second payment"))]
+#[case::nobody_asked(vec![(SECOND, Seen::Began(1, "d0-8".into()))], Some("asked for"))]
+#[case::back_from_a_drain(vec![(SECOND, Seen::Booted(0, 9.0, 9.0, SECOND)), (SECOND, Seen::SentBy(0, 0))], None)]
 #[case::looked_twice(vec![(SECOND, Seen::Began(0, "d1-2".into()))], None)]
 #[case::after_the_drain(vec![(SECOND, Seen::SentBy(0, 0))], Some("drain"))]
 #[case::by_one_not_told(vec![(SECOND, Seen::SentBy(1, 0))], None)]
