[start] careful: hosts of a list of before are tried before they are trusted

Need: a dispatcher that comes up with a list of before sends payments to hosts that have gone silent since; they cannot be sent again.

Ruled out: waiting for the list, probes, a state beside doubt (docs/design/cold-start.md).

Change: until the list service has answered, a host that has not answered since the start is in doubt (one trial at a time), and what must not run twice goes to no host in doubt. Off without the key.

--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -22,14 +22,22 @@
     let scenario = &world.scenario;
     let rate = scenario.rate * scenario.processes as f64;
     let mut random = Rand64::new(u128::from(seed));
-    let mut at = 0.0;
+    let burst = (scenario.clients.burst_at_s, (scenario.clients.burst * scenario.processes as f64) as usize);
+    let (mut at, mut left) = (0.0, burst.1);
     loop {
-        at += -(1.0 - random.rand_float()).ln() / rate;
+        let next = at - (1.0 - random.rand_float()).ln() / rate;
+        // Those that come in one instant come between two of the others.
+        let together = left > 0 && (next.is_nan() || next >= burst.0);
+        if together {
+            left -= 1;
+        } else {
+            at = next;
+        }
         // Without a rate the first one comes at no time.
-        if at.is_nan() || at >= scenario.seconds {
+        if !together && (at.is_nan() || at >= scenario.seconds) {
             break;
         }
-        let came = (at * 1e6) as Micros;
+        let came = (if together { burst.0 } else { at } * 1e6) as Micros;
         world.clock.sleep_until(came);
         let (pays, mut random) =
             (random.rand_float() < scenario.pay_share, Rand64::new(u128::from(random.rand_u64())));
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -106,6 +106,10 @@
     pub again: f64,
     /// It waits as `Retry-After` says; else 20 ms.
     pub heed: bool,
+    /// Further requests that all come in one instant, for each process told.
+    pub burst: f64,
+    /// When, in seconds.
+    pub burst_at_s: f64,
     /// The aim of both classes, in seconds, beside twice a job's work. The figures count what is served within the
     /// clients' whole patience: a cold worker serves late before it serves in time.
     pub promise_s: f64,
@@ -113,7 +117,7 @@
 
 impl Default for Clients {
     fn default() -> Clients {
-        Clients { again: 0.8, heed: true, promise_s: 0.3 }
+        Clients { again: 0.8, heed: true, burst: 0.0, burst_at_s: 0.0, promise_s: 0.3 }
     }
 }
 
@@ -240,5 +244,5 @@
     "cold-start", "old-list", "slow-list", "late-list", "list-out", "watches-end", "cut-half", "staggered", "tenth-starts", "stopped",
     "crash-loop", "few-connections", "drain", "herd-clients", "term-early",
     "cold-30", "list-restarts", "moved", "late-zone", "silent-workers", "words-lost", "resets",
-    "small-told", "empty-list", "replaced", "slow-accepts", "long-aim",
+    "small-told", "empty-list", "replaced", "slow-accepts", "long-aim", "all-return", "old-silent",
 }
--- a/crates/startup/src/pace.rs
+++ b/crates/startup/src/pace.rs
@@ -86,10 +86,10 @@
         self.since = Some(now);
     }
 
-    /// The service has told something: the call that is under way is answered, if there is one.
-    pub fn answered(&mut self, now: Micros) {
+    /// The service has told something: the call that is under way is answered, if there is one; whether there was.
+    pub fn answered(&mut self, now: Micros) -> bool {
         (self.pause, self.waited) = (PAUSE, false);
-        let Some(since) = self.since.take() else { return };
+        let Some(since) = self.since.take() else { return false };
         // No call takes the service longer than its caller waited. What waited beyond the pace is a queue, which
         // those ahead built up together.
         let waited = (now - since).max(LEAST) as f64;
@@ -97,6 +97,7 @@
         // One call alone, or the first of few, may wait for other reasons: it at most doubles the estimate.
         let shown = waited.min(before + waited / self.ahead.max(1.0)).min(2.0 * before);
         self.call = ((shown * MARGIN) as Micros).clamp(LEAST, MOST);
+        true
     }
 
     /// The call failed, or the watch broke: how long to wait before the next one. `draw` is drawn anew, even in 0..1.
--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -180,6 +180,7 @@
     // What was checked with its file.
     let told = parts.start.list_call().ok().flatten();
     site.settings.list_call = told.unwrap_or(site.settings.list_call);
+    site.settings.careful = parts.start.careful;
     Ok(Config {
         listen: address("listen", file.listen, "NODE_LISTEN")?,
         discovery: address("discovery", file.discovery, "NODE_DISCOVERY")?,
--- a/dispatcher/src/lifecycle/start.rs
+++ b/dispatcher/src/lifecycle/start.rs
@@ -14,6 +14,8 @@
 pub struct File {
     /// What one call is taken to cost the list service before any was made, in milliseconds.
     list_call_ms: Option<Spanned<f64>>,
+    /// A list that one comes up with is taken with care until the list service has answered.
+    pub careful: bool,
 }
 
 impl File {
--- a/dispatcher/tests/rig.rs
+++ b/dispatcher/tests/rig.rs
@@ -29,6 +29,8 @@
 #[case("replaced")]
 #[case("slow-accepts")]
 #[case("long-aim")]
+#[case("all-return")]
+#[case("old-silent")]
 fn the_rules_hold(#[case] name: &str) {
     // A seed that failed is given back in RIG_SEED.
     let seed = std::env::var("RIG_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
--- a/src/api.rs
+++ b/src/api.rs
@@ -242,6 +242,9 @@
     pub must_watch: bool,
     /// What one call is taken to cost discovery before any was made; then the pace follows what calls show.
     pub list_call: Micros,
+    /// Until discovery has answered, each worker is tried by one job first, and what must not run twice goes only to
+    /// those that have answered.
+    pub careful: bool,
     /// [`FleetEntry::units`] falls as a worker holds more requests.
     pub live_units: bool,
     /// Workers report when a job starts.
@@ -273,6 +276,7 @@
             tail_misses: None,
             must_watch: false,
             list_call: LIST_CALL,
+            careful: false,
             live_units: false,
             tells_start: false,
             progress: 0,
--- a/src/inner_tests.rs
+++ b/src/inner_tests.rs
@@ -295,6 +295,25 @@
     assert!(d.may_send(&known, 0));
 }
 
+/// Found as payments lost at silent workers of a list from before (rig, `old-silent`): until discovery has answered,
+/// each worker is tried by one job that may run twice, and payments wait for one that has answered.
+#[test]
+fn a_list_of_before_is_tried_before_it_is_trusted() {
+    let mut d = dispatcher(0);
+    (d.careful, d.set.classes[0].effect) = (true, Effect::Safe);
+    let list =
+        Event::Fleet { mode: ListMode::Complete, entries: vec![dispatcher(1).workers[0].listed.clone()] };
+    let mut out = vec![];
+    d.step(SECOND, &[list.clone(), job(1, 1.0), job(2, 1.0)], &mut out);
+    assert_eq!(sends(&out).len(), 1, "one is tried");
+    let pay = Job { class: 0, deadline: 99 * SECOND, ..Job::default() };
+    d.set.classes[0].effect = Effect::Unsafe;
+    assert!(!d.may_send(&pay, 0), "it has not answered");
+    d.calls.called(SECOND);
+    d.step(2 * SECOND, &[list], &mut out);
+    assert!(d.may_send(&pay, 0), "the list is confirmed");
+}
+
 /// The places of schedulers are an order of all, and few of them, next to each other by number, lie apart.
 #[test]
 fn places_are_an_order_of_all() {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -95,12 +95,10 @@
 }
 
 impl Worker {
-    /// Any word from a worker ends the doubt of it.
-    fn alive(&mut self, now: Micros) {
+    /// Any word from a worker ends the doubt of it. Its process was there then and is: no restart since, if a
+    /// broken connection alone spoke for one.
+    fn alive(&mut self, then: Micros, now: Micros) {
         (self.heard, self.doubt, self.on_trial, self.doubt_pause, self.news) = (now, None, false, 0, true);
-    }
-    /// Its process was there then and is: no restart since, if a broken connection alone spoke for one.
-    fn lives_on(&mut self, then: Micros) {
         if self.cut && self.broke.is_some_and(|at| then <= at) {
             (self.cut, self.broke, self.news) = (false, None, true);
         }
@@ -211,8 +209,7 @@
                 if let Some(&w) = self.index.get(worker).filter(|_| *ok) {
                     // A process that died is not back so soon.
                     let asked = self.workers[w].broke.filter(|at| self.now - at < TOGETHER);
-                    self.workers[w].lives_on(asked.unwrap_or(self.now));
-                    self.workers[w].alive(self.now);
+                    self.workers[w].alive(asked.unwrap_or(self.now), self.now);
                     self.workers[w].report(gauge, self.now);
                 }
             }
@@ -278,6 +275,7 @@
             || job.tries.len() >= limits.send_cap as usize
             || (!job.tries.is_empty() && !self.within_allowance())
             || class.kind.is_some_and(|k| k != worker.listed.kind)
+            || (self.careful && class.effect == Effect::Unsafe && worker.doubt.is_some())
             || (job.any_out() && (!limits.second_copies || job.tries.iter().any(|t| t.out && t.worker == w)))
         {
             return false;
@@ -458,8 +456,7 @@
         let unheard = t.heard == t.sent && worker.heard < t.sent && took > self.tick;
         let (class, work, hinted) = (job.class, job.work, job.hinted);
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
-            worker.lives_on(sent);
-            worker.alive(now);
+            worker.alive(sent, now);
             worker.idle.push(now);
         }
         worker.connected = true;
@@ -577,6 +574,8 @@
     fn enrol(&mut self, known: Option<usize>, mut new: Worker) {
         let w = known.unwrap_or(self.workers.len());
         self.order[2].extend(Some(w).filter(|_| new.listed.up_since.is_some()));
+        // From a list of before: tried by one job first.
+        new.doubt = Some(self.now).filter(|_| self.careful);
         if let Some(old) = self.workers.get_mut(w) {
             (new.recent, new.connected) = (std::mem::take(&mut old.recent), old.connected);
             *old = new;
@@ -657,8 +656,7 @@
         t.heard = now;
         let w = t.worker;
         let worker = &mut self.workers[w];
-        worker.lives_on(t.sent);
-        worker.alive(now);
+        worker.alive(t.sent, now);
         match note {
             Note::Started => {
                 if t.started.replace(now).is_none() && t.booked && self.set.tells_start {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -221,6 +221,7 @@
             tail_misses: self.objective_mix.miss_share.filter(|_| self.objective_mix.slow_end > 0.0),
             must_watch: self.discovery == "subscribe",
             list_call: LIST_CALL,
+            careful: false,
             live_units: self.weight_kind == "live",
             tells_start: info.tells_start,
             progress: micros(info.progress_s),
--- a/src/state.rs
+++ b/src/state.rs
@@ -453,6 +453,8 @@
     pub(crate) best_success: f64,
     /// When discovery is called.
     pub(crate) calls: Pace,
+    /// The list is one of before and not confirmed yet, and that is to be minded.
+    pub(crate) careful: bool,
     /// The quickest start of a job in each zone.
     pub(crate) quickest: BTreeMap<ZoneId, Micros>,
     /// Workers out by hand, with what the list said of them last, if it named them.
@@ -506,6 +508,7 @@
             tick_due: None,
             best_success: 1.0,
             calls: Pace::new(set.list_call),
+            careful: set.careful,
             quickest: BTreeMap::new(),
             suspended: BTreeMap::new(),
             set,
@@ -517,8 +520,11 @@
         match event {
             Event::Fleet { mode, entries } => {
                 // News by hand are no answer of discovery.
-                if *mode != ListMode::Broken {
-                    self.calls.answered(self.now);
+                let answered = *mode != ListMode::Broken && self.calls.answered(self.now);
+                if answered && std::mem::take(&mut self.careful) {
+                    // Who is in doubt only for the age of the list is so no longer.
+                    let new = |w: &&mut Worker| w.doubt_pause == 0;
+                    self.workers.iter_mut().filter(new).for_each(|w| (w.doubt, w.news) = (None, true));
                 }
                 self.heed(*mode, entries, out);
             }
