Spread moves of the list service; numbers beyond fleetSize count; rig: late links

Changes: [start] spread_moves: the call comes at one's place in a first round, and the old watch stays until then (not taken: closing the old watch at once, which leaves drains unheard for that time). Who has a later number than told takes the fleet for that number + 1.

--- a/crates/rig/src/links.rs
+++ b/crates/rig/src/links.rs
@@ -22,6 +22,8 @@
     Silent,
     /// Connections are closed at once, new ones too.
     Reset,
+    /// They pass, later by [`Cut::late_ms`] and up to [`Cut::jitter_ms`] more.
+    Late,
 }
 
 /// A named set of parties: `list`, `dispatchers`, `workers`, or a part of one: `dispatchers[0..4]`.
@@ -109,6 +111,12 @@
     pub one_way: bool,
     /// What becomes of them.
     pub harm: Harm,
+    /// How late words are, one way, in milliseconds.
+    #[serde(default)]
+    pub late_ms: f64,
+    /// By how much more at most, even between nothing and this.
+    #[serde(default)]
+    pub jitter_ms: f64,
 }
 
 /// All links of a run.
@@ -116,14 +124,17 @@
 pub struct Links(pub Vec<Cut>);
 
 impl Links {
-    /// What befalls words from one party to another now.
-    pub fn harm(&self, from: Party, to: Party, now: Micros) -> Option<Harm> {
+    /// What befalls words from one party to another now, and how late they are, `draw` drawn in 0..1.
+    pub fn harm(&self, from: Party, to: Party, now: Micros, draw: f64) -> (Option<Harm>, Micros) {
         let now = now as f64 / 1e6;
         let hit = |c: &&Cut| {
             let there = c.from.has(from) && c.to.has(to);
             let back = !c.one_way && c.from.has(to) && c.to.has(from);
             (c.from_s..c.until_s).contains(&now) && (there || back)
         };
-        self.0.iter().find(hit).map(|c| c.harm)
+        // What stops words goes before what delays them.
+        let stops = self.0.iter().filter(hit).find(|c| c.harm != Harm::Late).map(|c| c.harm);
+        let late = self.0.iter().filter(hit).filter(|c| c.harm == Harm::Late);
+        (stops, late.map(|c| ((c.late_ms + draw * c.jitter_ms) * 1e3) as Micros).sum())
     }
 }
--- a/crates/rig/src/list.rs
+++ b/crates/rig/src/list.rs
@@ -155,7 +155,7 @@
         match world.harm(it, me).or(world.harm(me, it)) {
             Some(Harm::Reset) => return Ok(()),
             Some(Harm::Silent) => return silent(world, it, me),
-            None => {}
+            Some(Harm::Late) | None => {}
         }
         let Some(failure) = wait_for_turn(world, dispatcher) else {
             let path = &request.start[1];
@@ -254,7 +254,7 @@
                 // Its news are lost with the connection.
                 return silent(world, it, me);
             }
-            None => {}
+            Some(Harm::Late) | None => {}
         }
         match change {
             Ok(Change::Text(text, drains)) => {
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -199,7 +199,11 @@
             self.in_time_all,
             self.ideal.map_or("-".into(), |i| format!("{:.2}", self.in_time_all / i.max(f64::MIN_POSITIVE))),
             self.ends.get(&format!("{:?}", End::Lost)).unwrap_or(&0),
-            if self.kept() { "kept" } else { "BROKEN" },
+            match (self.broken.is_empty(), self.faults.is_empty()) {
+                (true, true) => "kept",
+                (true, false) => "kept, not as wanted",
+                _ => "BROKEN",
+            },
         );
         row
     }
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -205,6 +205,10 @@
             by(&mut c.to);
         });
         self.events.iter_mut().for_each(|e| by(&mut e.who));
+        if processes != self.processes {
+            // It is wanted of the scenario's own size: a round grows with the dispatchers.
+            self.expect.listed_s = None;
+        }
         (self.processes, self.workers_n) = (processes, workers);
         self
     }
@@ -244,5 +248,5 @@
     "cold-start", "old-list", "slow-list", "late-list", "list-out", "watches-end", "cut-half", "staggered", "tenth-starts", "stopped",
     "crash-loop", "few-connections", "drain", "herd-clients", "term-early",
     "cold-30", "list-restarts", "moved", "late-zone", "silent-workers", "words-lost", "resets",
-    "small-told", "empty-list", "replaced", "slow-accepts", "long-aim", "all-return", "old-silent",
+    "small-told", "empty-list", "replaced", "slow-accepts", "long-aim", "all-return", "old-silent", "late-links", "moved-spread",
 }
--- a/crates/rig/src/worker.rs
+++ b/crates/rig/src/worker.rs
@@ -173,7 +173,7 @@
                 world.clock.sleep_until(world.clock.now() + 20 * SECOND);
                 return Ok(());
             }
-            None => {}
+            Some(Harm::Late) | None => {}
         }
         if request.start[0] == "DELETE" {
             withdraw(world, number, &id);
--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -94,6 +94,8 @@
     pub known: List,
     /// The settings of the decisions.
     pub site: Site,
+    /// Whether moves of discovery are followed at one's place in a round.
+    pub spread_moves: bool,
     /// The log.
     pub log: log::File,
     /// The Gearman front, if it is on.
@@ -192,6 +194,7 @@
         seed,
         limits: file.limits,
         known: file.known,
+        spread_moves: parts.start.spread_moves,
         log: parts.log,
         gearman: parts.gearman,
         ipfix: parts.ipfix,
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -14,10 +14,11 @@
 use crate::wire::upstream::HttpDialer;
 use may::sync::mpsc::channel;
 use roselock::settings::fnv;
+use roselock_startup::pace::{Pace, Round};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Words of stack for a coroutine: the deepest path parses a head and writes it out.
 const STACK: usize = 8 * 1024;
@@ -130,7 +131,8 @@
     }
     let name = config.name.clone();
     tracing::info!("{name}: serving on {listen}");
-    heed_signals(signals, config, Parts { inbox, fleet, registry, gearman });
+    let moves = Arc::default();
+    heed_signals(signals, config, Parts { inbox, fleet, registry, moves, gearman });
     // This thread owns the decisions from here on.
     core.run();
     tracing::info!("{name}: nothing is owed, done");
@@ -165,6 +167,8 @@
     inbox: Inbox,
     fleet: FleetId,
     registry: Registry,
+    /// Moves of discovery told so far: one that waits for its turn is void once there is a later one.
+    moves: Arc<AtomicUsize>,
     gearman: Option<Arc<Gearman>>,
 }
 
@@ -172,8 +176,8 @@
     /// Puts a new configuration in the place of the old one; says what only a new start can change.
     fn reload(&self, old: &Config, new: &Config) {
         let name = &old.name;
-        if self.registry.move_to(new.discovery) {
-            tracing::info!("{name}: discovery is at {} from now on", new.discovery);
+        if new.discovery != old.discovery {
+            self.move_discovery(name, new);
         }
         if new.site.names_as(&old.site) {
             self.inbox.post(Input::Settings(self.fleet, Box::new(new.site.settings.clone())));
@@ -199,6 +203,31 @@
     }
 }
 
+impl Parts {
+    /// Discovery has moved: at once, or at our place in a first round, as all may be told in the same second; the old
+    /// watch stays until then.
+    fn move_discovery(&self, name: &str, new: &Config) {
+        let (this, moves) = (self.moves.fetch_add(1, Ordering::SeqCst) + 1, self.moves.clone());
+        let (name, at, registry) = (name.to_owned(), new.discovery, self.registry.clone());
+        let settings = &new.site.settings;
+        let round =
+            Round { all: settings.fleet_size.max(1), me: settings.me, within: settings.safety.ask_within };
+        let wait = if new.spread_moves { Pace::new(settings.list_call).first(round) } else { 0 };
+        let move_now = move || {
+            if moves.load(Ordering::SeqCst) == this && registry.move_to(at) {
+                tracing::info!("{name}: discovery is at {at} from now on");
+            }
+        };
+        if wait == 0 {
+            return move_now();
+        }
+        may::go!(move || {
+            may::coroutine::sleep(std::time::Duration::from_micros(wait as u64));
+            move_now();
+        });
+    }
+}
+
 fn heed_signals(mut signals: Signals, mut config: Config, parts: Parts) {
     std::thread::spawn(move || {
         for signal in signals.forever() {
--- a/dispatcher/src/lifecycle/start.rs
+++ b/dispatcher/src/lifecycle/start.rs
@@ -16,6 +16,8 @@
     list_call_ms: Option<Spanned<f64>>,
     /// A list that one comes up with is taken with care until the list service has answered.
     pub careful: bool,
+    /// A list service that has moved is called at one's place in a first round, not at once.
+    pub spread_moves: bool,
 }
 
 impl File {
--- a/src/inner_tests.rs
+++ b/src/inner_tests.rs
@@ -314,6 +314,18 @@
     assert!(d.may_send(&pay, 0), "the list is confirmed");
 }
 
+/// Found as cold workers that were sent 1.6 of what they bear where five times as many were up as told (rig,
+/// `small-told`): a number beyond those told shows that there are more.
+#[test]
+fn a_later_number_than_told_shows_a_larger_fleet() {
+    let fleet = |told: u32, me: u32| {
+        let options = crate::settings::Options { fleet_size: told, me, ..Default::default() };
+        options.site().map(|site| site.settings.fleet_size)
+    };
+    assert_eq!([fleet(2, 1), fleet(2, 7), fleet(9, 7)], [Ok(2), Ok(8), Ok(9)]);
+    assert_eq!(fleet(0, 7), Ok(0), "left to the check of the settings");
+}
+
 /// The places of schedulers are an order of all, and few of them, next to each other by number, lie apart.
 #[test]
 fn places_are_an_order_of_all() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -211,7 +211,8 @@
             });
         }
         let settings = Settings {
-            fleet_size: self.fleet_size,
+            // Who has a later number than told knows that there are more, at least.
+            fleet_size: if self.fleet_size > 0 { self.fleet_size.max(self.me.saturating_add(1)) } else { 0 },
             me: self.me,
             zone: ZoneId(zones.id(&self.zone) as u16),
             classes,
