--- a/src/rules.rs
+++ b/src/rules.rs
@@ -345,7 +345,7 @@
         stewards >= all as f64 || first(at).max(first(at + fall)) < stewards * part
     }
 
-    /// Rule 4: over any span of `fall`, our part of what a cold worker bears; or one job whose work is a guess.
+    /// Rule 4: over any span of `fall`, our part of what a cold worker bears, or one job of a guessed work.
     fn within_cold_budget(&self, worker: &Worker, job: &Job) -> bool {
         // A short job counts as its class's mean, or a crowd of them would push a worker over.
         let (seen, weight) = (self.classes[job.class].seen, job.work.max(self.classes[job.class].mean));
