Fewer than 16 dispatchers take no turns at cold workers

Change: below 16 dispatchers the set of stewards stays, as before the turns. Each is a steward somewhere then.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,6 +36,7 @@
 const FIRST_ROOM: f64 = 2.0; // of a worker when nothing at all is known, in slots or memory units
 const REPORT_AGE: Micros = SECOND / 2; // of a report that comes with a delay
 const COLD_CARE: f64 = 0.7; // share of the cold budget that is used, since the capacity behind it is a guess
+const MANY: u32 = 16; // schedulers from which on they take turns; fewer have their part somewhere anyway
 const TURN: Micros = 4; // spans of the cold budget in which the same schedulers send to it
 const PRESUMED: Micros = 5 * SECOND; // how long a process seen down counts as started, as the list is late
 const TOGETHER: Micros = SECOND / 2; // breaks within this span are one event
@@ -340,8 +341,9 @@
         let flow = self.flow.weight * self.flow.keep(self.now, FLOW_MEMORY);
         let part = if usual > 0.0 { (flow / usual + FLOW_PRIOR) / (span + FLOW_PRIOR) } else { 1.0 };
         let (id, fall) = (mix(worker.listed.worker.0), self.set.safety.fall.max(1));
-        let at = self.now + (id % (TURN * fall) as u64) as Micros;
-        let first = |at: Micros| place(self.set.me, all, mix(id ^ (at / (TURN * fall)) as u64)) as f64;
+        let turn = if all < MANY { Micros::MAX / 4 } else { TURN * fall };
+        let at = self.now + (id % turn as u64) as Micros;
+        let first = |at: Micros| place(self.set.me, all, mix(id ^ (at / turn) as u64)) as f64;
         stewards >= all as f64 || first(at).max(first(at + fall)) < stewards * part
     }
 
