Mend what reading the change found: care that never ended, seats on the hot path

Found by reading, each with its cause: - [start] careful reached the fleets of Gearman functions, which ask no discovery: it never ended there, and payments never went out where no safe job tried a worker. Care is now off where nobody is asked; a test. - A host that is tried with care and stays silent was put in doubt without the log line, as it was in doubt already. - The seat in the order of dispatchers was searched twice for each cold worker and job; it is computed when the settings come. What was sent lately was summed for warm workers too; only for cold ones again. - Watches that ended for an empty list were counted twice a call (list and watch), so the pauses were 1, 4, 8 s instead of 1, 2, 4, 8; and one that came within a watch was asked for at once.

--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -11,6 +11,7 @@
 use crate::{Clock, Micros, SECOND, clients};
 use may::net::TcpListener;
 use nix::sys::signal::Signal;
+use oorandom::Rand64;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -44,6 +45,8 @@
     ended_by_rig: Vec<AtomicBool>,
     links: Links,
     ledger: Mutex<Ledger>,
+    /// What links draw.
+    random: Mutex<Rand64>,
     end: AtomicBool,
     /// Requests under way.
     pub asking: AtomicUsize,
@@ -61,8 +64,7 @@
     /// What befalls words from one party to another now; late ones are waited for.
     pub fn harm(&self, from: Party, to: Party) -> Option<Harm> {
         let now = self.clock.now();
-        // Even enough over calls that come at any microsecond.
-        let draw = (now as f64 * 0.618_033_988_749_894_9).fract();
+        let draw = self.random.lock().unwrap_or_else(PoisonError::into_inner).rand_float();
         let (harm, late) = self.links.harm(from, to, now, draw);
         if harm.is_none() && late > 0 {
             self.clock.sleep_until(now + late);
@@ -208,6 +210,7 @@
             ended_by_rig: places.iter().map(|_| AtomicBool::new(false)).collect(),
             links: Links(scenario.cuts.clone()),
             ledger: Mutex::default(),
+            random: Mutex::new(Rand64::new(u128::from(options.seed))),
             end: AtomicBool::new(false),
             asking: AtomicUsize::new(0),
             ids: AtomicUsize::new(0),
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -1,6 +1,6 @@
 //! A scenario as data: one TOML each.
 
-use crate::links::{Cut, Group};
+use crate::links::{Cut, Group, Harm};
 use crate::list::{Failure, Outage};
 use crate::worker::Kind;
 use serde::{Deserialize, Serialize};
@@ -190,6 +190,22 @@
         if scenario.fleet_told.is_nan() || scenario.fleet_told <= 0.0 {
             return wrong("fleet_told", "must be above 0");
         }
+        for cut in &scenario.cuts {
+            let late = [cut.late_ms, cut.jitter_ms];
+            if !late.iter().all(|ms| (0.0..=60e3).contains(ms)) {
+                return wrong("late_ms and jitter_ms", "must be between 0 and 60000");
+            }
+            if (cut.harm == Harm::Late) != (late.iter().sum::<f64>() > 0.0) {
+                return wrong("late_ms or jitter_ms", "go with harm = \"late\", and it with one of them");
+            }
+        }
+        let burst = &scenario.clients;
+        if !(0.0..=1000.0).contains(&burst.burst) || !(0.0..=scenario.seconds).contains(&burst.burst_at_s) {
+            return wrong(
+                "burst and burst_at_s",
+                "must be at most 1000 requests a dispatcher, within the run",
+            );
+        }
         Ok(scenario)
     }
 
--- a/crates/rig/tests/ledger.rs
+++ b/crates/rig/tests/ledger.rs
@@ -77,6 +77,11 @@
     "is no group"
 )]
 #[case("rate = -1.0", "rate")]
+#[case(
+    "[[cut]]\nfrom_s = 0.0\nuntil_s = 1.0\nfrom = \"list\"\nto = \"dispatchers\"\nharm = \"late\"",
+    "go with harm"
+)]
+#[case("[clients]\nburst = 1.0\nburst_at_s = 4.0", "within the run")]
 fn what_is_wrong_with_a_scenario_is_named(#[case] line: &str, #[case] word: &str) {
     let head = "name = \"x\"\nabout = \"y\"\nprocesses = 2\nworkers_n = 1\nseconds = 3.0\n";
     let text = match line {
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -14,7 +14,7 @@
 use crate::wire::upstream::HttpDialer;
 use may::sync::mpsc::channel;
 use roselock::settings::fnv;
-use roselock_startup::pace::{Pace, Round};
+use roselock_startup::pace::Pace;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::sync::Arc;
@@ -61,7 +61,8 @@
     let mut watch = Watch {
         registry: registry.clone(),
         rev: Some(config.known.rev),
-        nobody: 0,
+        nobody: false,
+        in_vain: 0,
         site: config.site.clone(),
         inbox: inbox.clone(),
         fleet,
@@ -201,18 +202,14 @@
         }
         tracing::info!("{name}: configuration read again");
     }
-}
 
-impl Parts {
     /// Discovery has moved: at once, or at our place in a first round, as all may be told in the same second; the old
     /// watch stays until then.
     fn move_discovery(&self, name: &str, new: &Config) {
         let (this, moves) = (self.moves.fetch_add(1, Ordering::SeqCst) + 1, self.moves.clone());
         let (name, at, registry) = (name.to_owned(), new.discovery, self.registry.clone());
         let settings = &new.site.settings;
-        let round =
-            Round { all: settings.fleet_size.max(1), me: settings.me, within: settings.safety.ask_within };
-        let wait = if new.spread_moves { Pace::new(settings.list_call).first(round) } else { 0 };
+        let wait = if new.spread_moves { Pace::new(settings.list_call).first(settings.round()) } else { 0 };
         let move_now = move || {
             if moves.load(Ordering::SeqCst) == this && registry.move_to(at) {
                 tracing::info!("{name}: discovery is at {at} from now on");
--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -120,8 +120,10 @@
     pub registry: Registry,
     /// The version last heard of there; none where discovery has not been heard yet.
     pub rev: Option<u64>,
-    /// Whole lists of nobody in a row, the last word among them.
-    pub nobody: u32,
+    /// The latest word of who is there was a whole list of nobody.
+    pub nobody: bool,
+    /// Watches in a row that ended with that.
+    pub in_vain: u32,
     /// Names met in lists get numbers of their own here.
     pub site: Site,
     /// The way to the decisions.
@@ -148,7 +150,8 @@
                     (watched, self.rev) = (moves, None);
                 }
                 let ended = self.watch(at, moves);
-                if self.nobody > 0 {
+                self.in_vain = if self.nobody { self.in_vain.saturating_add(1) } else { 0 };
+                if self.nobody {
                     // The version of such a list says nothing.
                     self.rev = None;
                 }
@@ -196,8 +199,13 @@
             return Err(Bad::Status(head.status));
         }
         let mut lines = Vec::new();
-        let again = by(NOBODY << (self.nobody.max(1) - 1).min(DOUBLED));
-        while reader.chunk(&mut lines, LINE, if self.nobody > 0 { again } else { by(SILENCE) })? {
+        let mut again = None;
+        loop {
+            let ask_again = || by(NOBODY << self.in_vain.min(DOUBLED));
+            again = self.nobody.then(|| again.unwrap_or_else(ask_again));
+            if !reader.chunk(&mut lines, LINE, again.unwrap_or_else(|| by(SILENCE)))? {
+                return Ok(());
+            }
             while let Some(end) = lines.iter().position(|b| *b == b'\n') {
                 let line: Vec<u8> = lines.drain(..=end).collect();
                 self.take(line.trim_ascii());
@@ -206,7 +214,6 @@
                 return Err(Bad::Status(413));
             }
         }
-        Ok(())
     }
 
     fn take(&mut self, line: &[u8]) {
@@ -216,10 +223,10 @@
         match serde_json::from_slice::<List>(line) {
             Ok(list) => {
                 self.rev = Some(list.rev);
-                match (list.all, list.targets.is_empty()) {
-                    (true, true) => self.nobody += 1,
-                    (_, false) => self.nobody = 0,
-                    _ => {}
+                // Changes of nothing say nothing of who is there.
+                self.nobody = list.targets.is_empty() && (list.all || self.nobody);
+                if self.nobody {
+                    tracing::warn!("discovery: a list without any host; it is asked for again");
                 }
                 let mode = if list.all { ListMode::Complete } else { ListMode::Changes };
                 let hosts = hosts(&list, &mut self.site);
--- a/src/api.rs
+++ b/src/api.rs
@@ -7,6 +7,7 @@
 //! [`Event::Alarm`] for each [`Action::Timer`]. For each [`Event::Job`] the dispatcher owes one final answer, unless
 //! a verdict said `last`, its stream was accepted, or the client left.
 
+use roselock_startup::pace::Round;
 use std::fmt;
 
 /// A point in time or a span, in microseconds.
@@ -287,6 +288,11 @@
         }
     }
 
+    /// Who calls discovery, and within what time, for the pace of the calls.
+    pub fn round(&self) -> Round {
+        Round { all: self.fleet_size, me: self.me, within: self.safety.ask_within }
+    }
+
     /// Names the first field whose value makes no sense. [`Dispatcher::new`](crate::Dispatcher::new) asks this.
     pub fn check(&self) -> Result<(), SettingsError> {
         let mut checks = vec![
--- a/src/inner_tests.rs
+++ b/src/inner_tests.rs
@@ -51,6 +51,12 @@
     })
 }
 
+/// Number `me` of a fleet of so many.
+fn among(me: u32, all: u32, mut d: Dispatcher) -> Dispatcher {
+    d.retell(&Settings { me, fleet_size: all, ..d.set.clone() }).expect("settings that make sense");
+    d
+}
+
 fn sends(actions: &[Action]) -> Vec<(u32, u64)> {
     let sent = actions.iter().filter_map(|a| match a {
         Action::Send { job, worker, .. } => Some((job.0, worker.0)),
@@ -245,8 +251,8 @@
 #[test]
 fn as_many_schedulers_may_send_to_a_cold_worker_as_jobs_fit() {
     let may = |me: u32, age: Micros| {
-        let mut d = dispatcher(3);
-        (d.set.fleet_size, d.set.me, d.classes[0].mean) = (41, me, 0.3);
+        let mut d = among(me, 41, dispatcher(3));
+        d.classes[0].mean = 0.3;
         let young = FleetEntry { up_since: Some(SECOND), worker: WorkerId(9), ..d.workers[0].listed.clone() };
         d.step(SECOND, &[Event::Fleet { mode: ListMode::Changes, entries: vec![young] }], &mut vec![]);
         d.step(SECOND + age, &[], &mut vec![]);
@@ -314,6 +320,17 @@
     assert!(d.may_send(&pay, 0), "the list is confirmed");
 }
 
+/// Found by reading: the decisions of Gearman functions ask no discovery, so with care none of their workers would
+/// ever have been sent what must not run twice.
+#[test]
+fn care_ends_only_where_discovery_is_asked() {
+    let careful = |must_watch| {
+        let set = Settings { careful: true, must_watch, ..settings() };
+        Dispatcher::new(set, 1).map(|d| d.careful).expect("settings that make sense")
+    };
+    assert_eq!([careful(true), careful(false)], [true, false]);
+}
+
 /// Found as cold workers that were sent 1.6 of what they bear where five times as many were up as told (rig,
 /// `small-told`): a number beyond those told shows that there are more.
 #[test]
@@ -331,11 +348,12 @@
 fn places_are_an_order_of_all() {
     for all in [1, 2, 3, 41, 80, 100, 300, 1024] {
         for shift in [0, 7, u64::MAX] {
-            let places: BTreeSet<u64> = (0..all).map(|me| place(me, all, shift)).collect();
+            let places: BTreeSet<u64> =
+                (0..all).map(|me| among(me, all, dispatcher(0)).place(shift)).collect();
             assert_eq!((places.len(), places.last().copied()), (all as usize, Some(u64::from(all) - 1)));
         }
     }
-    let tenth: BTreeSet<u64> = (0..8).map(|me| place(me, 80, 0)).collect();
+    let tenth: BTreeSet<u64> = (0..8).map(|me| seat(me, 80)).collect();
     let gaps = tenth.iter().zip(tenth.iter().skip(1)).map(|(a, b)| b - a);
     assert!(gaps.clone().min() >= Some(3), "{tenth:?}");
 }
@@ -348,8 +366,8 @@
     let mean = 0.3;
     let mut all: Vec<Dispatcher> = (0..100)
         .map(|me| {
-            let mut d = dispatcher(0);
-            (d.set.fleet_size, d.set.me, d.classes[0].mean) = (100, me, mean);
+            let mut d = among(me, 100, dispatcher(0));
+            d.classes[0].mean = mean;
             d.set.tenants = vec![Tenant { quota_per_s: 100.0 }];
             d.tenant_rate = vec![Default::default()];
             d
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -6,7 +6,7 @@
 use crate::api::*;
 pub use crate::state::Dispatcher;
 use crate::state::*;
-use roselock_startup::pace::{GOLDEN, Round};
+use roselock_startup::pace::GOLDEN;
 use std::collections::BTreeSet;
 
 const WINDOW: f64 = 256.0; // length of the payoff window in ticks, by which T is pushed on when it is reached
@@ -167,7 +167,7 @@
             self.since = now;
             if self.set.must_watch {
                 // All may have come up at once, and discovery serves in turn: each at a time of its own.
-                let after = self.calls.first(self.round());
+                let after = self.calls.first(self.set.round());
                 out.push(Action::Timer { after, token: WATCH_TOKEN });
             }
         }
@@ -343,18 +343,21 @@
         let (id, fall) = (mix(worker.listed.worker.0), self.set.safety.fall.max(1));
         let turn = if all < MANY { Micros::MAX / 4 } else { TURN * fall };
         let at = self.now + (id % turn as u64) as Micros;
-        let first = |at: Micros| place(self.set.me, all, mix(id ^ (at / turn) as u64)) as f64;
+        let first = |at: Micros| self.place(mix(id ^ (at / turn) as u64)) as f64;
         stewards >= all as f64 || first(at).max(first(at + fall)) < stewards * part
     }
 
     /// Rule 4: over any span of `fall`, our part of what a cold worker bears, or one job of a guessed work.
     fn within_cold_budget(&self, worker: &Worker, job: &Job) -> bool {
+        if !self.cold(worker) {
+            return true;
+        }
         // A short job counts as its class's mean, or a crowd of them would push a worker over.
         let (seen, weight) = (self.classes[job.class].seen, job.work.max(self.classes[job.class].mean));
         let recent = worker.sent_since(self.now - self.set.safety.fall);
         let alone = seen <= 1.0 && recent + worker.own[SLOT] == 0.0;
         let part = || if alone { weight } else { self.bears(worker) / self.stewards(worker) };
-        !self.cold(worker) || self.steward(worker) && weight + recent <= part()
+        self.steward(worker) && weight + recent <= part()
     }
 
     fn send(&mut self, id: JobId, w: usize, out: &mut Vec<Action>) {
@@ -498,15 +501,10 @@
 
     // ---- The list of workers ----
 
-    /// Who calls discovery, and within what time: the pace of the calls is no decision about work.
-    fn round(&self) -> Round {
-        Round { all: self.set.fleet_size, me: self.set.me, within: self.set.safety.ask_within }
-    }
-
     pub(crate) fn fleet(&mut self, mode: ListMode, entries: &[FleetEntry], out: &mut Vec<Action>) {
         if mode == ListMode::Broken {
             // Ask anew, more slowly so as not to crowd discovery, but within the time that binds us.
-            let (round, draw) = (self.round(), self.rng.rand_float());
+            let (round, draw) = (self.set.round(), self.rng.rand_float());
             out.push(Action::Timer { after: self.calls.broken(self.now, round, draw), token: WATCH_TOKEN });
             return;
         }
@@ -621,7 +619,7 @@
         if worker.doubt.is_some_and(|until| until > now) {
             return;
         }
-        if worker.doubt.is_none() {
+        if worker.doubt_pause == 0 {
             out.push(Action::Log { text: "in doubt", worker: worker.listed.worker });
         }
         worker.doubt_pause = (worker.doubt_pause * 2).clamp(PAUSE[0], PAUSE[1]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -383,9 +383,9 @@
     x ^ (x >> 31)
 }
 
-/// The place of scheduler `me` among `all` in an order of them, shifted by a hash: a permutation in which any few
-/// numbers lie apart (multiples of a number prime to `all`, near its golden section).
-pub(crate) fn place(me: u32, all: u32, shift: u64) -> u64 {
+/// The seat of scheduler `me` in an order of `all` of them: a permutation in which any few numbers lie apart
+/// (multiples of a number prime to `all`, near its golden section).
+pub(crate) fn seat(me: u32, all: u32) -> u64 {
     let (me, all) = (u64::from(me), u64::from(all.max(1)));
     let prime = |to: u64| {
         let (mut a, mut b) = (to, all);
@@ -395,7 +395,7 @@
         a == 1
     };
     let step = (((all as f64 * GOLDEN) as u64).max(1)..=all).find(|s| prime(*s)).unwrap_or(1);
-    (me % all * step + shift % all) % all
+    me % all * step % all
 }
 
 /// One scheduler's decisions. Feed it every event through [`Dispatcher::step`].
@@ -451,6 +451,8 @@
     pub(crate) tick_due: Option<Micros>,
     /// Highest chance of success among the workers.
     pub(crate) best_success: f64,
+    /// Our seat in an order of all schedulers; it follows from the settings.
+    pub(crate) seat: u64,
     /// When discovery is called.
     pub(crate) calls: Pace,
     /// The list is one of before and not confirmed yet, and that is to be minded.
@@ -507,8 +509,10 @@
             swept: 0,
             tick_due: None,
             best_success: 1.0,
+            seat: seat(set.me, set.fleet_size),
             calls: Pace::new(set.list_call),
-            careful: set.careful,
+            // Where nobody is asked, nobody ever confirms.
+            careful: set.careful && set.must_watch,
             quickest: BTreeMap::new(),
             suspended: BTreeMap::new(),
             set,
@@ -581,10 +585,16 @@
             let problem = "must be as many as before";
             return Err(SettingsError { field: "classes and tenants".to_owned(), problem });
         }
-        self.set = set.clone();
+        (self.set, self.seat) = (set.clone(), seat(set.me, set.fleet_size));
         Ok(())
     }
 
+    /// Our place in the order of all schedulers that is the seats, turned by a hash.
+    pub(crate) fn place(&self, turned: u64) -> u64 {
+        let all = u64::from(self.set.fleet_size);
+        (self.seat + turned % all) % all
+    }
+
     /// `n` different columns of the history, each with a tick of the look-ahead.
     pub(crate) fn draw_columns(&mut self, n: usize) -> Vec<(usize, usize)> {
         let len = self.history.len();
