Write down a worker taken out by hand in a process's first moments

The thread that keeps it read what is wanted when it first ran, after the admin address had opened: a SUSPEND before that counted as written already, and the next process of an upgrade let the worker back in. Shown by a start of that thread 0.3 s late: the story of the ban fails before, holds now.

Ruled out: the test itself (its folder and name are right), a full disk.

Change: the file is stamped, read and taken over in one place, before the admin address opens. What is written between stamp and read is seen, too; it was lost before.

--- a/dispatcher/src/lifecycle/handover.rs
+++ b/dispatcher/src/lifecycle/handover.rs
@@ -21,7 +21,7 @@
 }
 
 /// The file's place.
-pub fn path(name: &str) -> PathBuf {
+fn path(name: &str) -> PathBuf {
     let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
     std::env::temp_dir().join(format!("roselock-{name}.suspended"))
 }
@@ -31,7 +31,7 @@
 }
 
 /// Reads the file; what cannot be trusted is logged and left.
-pub fn read(path: &Path, owner: &Owner) -> Option<Wanted> {
+fn read(path: &Path, owner: &Owner) -> Option<Wanted> {
     let bytes = match std::fs::read(path) {
         Ok(bytes) => bytes,
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
@@ -63,12 +63,31 @@
     std::fs::rename(&new, path)
 }
 
-/// Keeps the file and what is wanted alike for as long as the process lives.
-pub fn keep(hand: Arc<ByHand>, owner: Owner, inbox: Inbox) {
+/// The file as it was before anybody could change what is wanted: what comes later is written, or read again.
+pub struct Kept {
+    owner: Owner,
+    path: PathBuf,
+    written: Wanted,
+    seen: Option<(SystemTime, u64)>,
+}
+
+/// Takes over what the process before left. To be called before the admin address opens.
+pub fn begin(owner: Owner, hand: &ByHand) -> Kept {
     let path = path(&owner.name);
+    // Before it is read: what is written in between is seen as a change.
+    let seen = stamp(&path);
+    if let Some(wanted) = read(&path, &owner) {
+        let many = wanted.out.len();
+        tracing::info!("{}: {many} workers out by hand, as the process before left them", owner.name);
+        hand.adopt(wanted);
+    }
+    Kept { owner, path, written: hand.wanted(), seen }
+}
+
+/// Keeps the file and what is wanted alike for as long as the process lives.
+pub fn keep(kept: Kept, hand: Arc<ByHand>, inbox: Inbox) {
+    let Kept { owner, path, mut written, mut seen } = kept;
     std::thread::spawn(move || {
-        let mut written = hand.wanted();
-        let mut seen = stamp(&path);
         let mut failing = false;
         loop {
             std::thread::sleep(LOOK);
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -48,14 +48,7 @@
     let registry = Registry::new(config.discovery, ask);
     let flows = config.ipfix.as_ref().map(|file| ipfix::start(file, &site)).transpose()?;
     let owner = handover::Owner { site: config.listen.to_string(), name: config.name.clone() };
-    if let Some(wanted) = handover::read(&handover::path(&owner.name), &owner) {
-        tracing::info!(
-            "{}: {} workers out by hand, as the process before left them",
-            owner.name,
-            wanted.out.len()
-        );
-        operation.hand.adopt(wanted);
-    }
+    let kept = handover::begin(owner, &operation.hand);
     let mut core = Core::new(inbox.clone(), outlet, flows, operation.clone());
     let fleet = core.add_fleet(site.settings.clone(), config.seed, Some(Box::new(dialer)))?;
     let mut watch = Watch {
@@ -126,7 +119,7 @@
         may::go!(move || admin::accept(admin, &listener));
         tracing::info!("{}: admin on {listen}", config.name);
     }
-    handover::keep(operation.hand.clone(), owner, inbox.clone());
+    handover::keep(kept, operation.hand.clone(), inbox.clone());
     if inherited {
         core.set_relay(relay::start(&config.name, front.site.clone(), inbox.clone()));
     }
