Rig: each run claims a net of 127/8 of its own, also within one process

The net was drawn from the process id, so all cases of one test binary had the same, and two runs that drew the same free port shared one address: two dispatchers bound to it both serve (tried by starting two).

Ruled out: workers' and list listeners, which stay bound until the process ends; retrying on a failed start, as no start fails.

Change: a run holds a listener at an address of its net that no dispatcher has, and takes the first net that it can claim. The kernel frees it when a run ends in any way. A test claims two at once.

--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -144,6 +144,21 @@
     faults: Vec<String>,
     takes: (usize, usize),
     _folder: tempfile::TempDir,
+    _claim: std::net::TcpListener,
+}
+
+/// Nets of 127/8 for runs, and where each is claimed: at an address of it that no dispatcher has.
+const NETS: std::ops::Range<u8> = 20..220;
+const CLAIM: ([u8; 2], u16) = ([255, 254], 20_999);
+
+/// A net that no other run on this machine has, in this process or another, for as long as the claim is held.
+pub fn claim_net() -> std::io::Result<(u8, std::net::TcpListener)> {
+    let claim = |net: u8| {
+        let ([c, d], port) = CLAIM;
+        std::net::TcpListener::bind((Ipv4Addr::new(127, net, c, d), port)).map(|claim| (net, claim))
+    };
+    let none = || std::io::Error::other("all nets of 127/8 for runs are taken");
+    NETS.into_iter().find_map(|net| claim(net).ok()).ok_or_else(none)
 }
 
 fn free_port() -> std::io::Result<u16> {
@@ -173,8 +188,7 @@
         let folder = tempfile::tempdir()?;
         let (n, workers) = (scenario.processes, scenario.workers_n);
         let (port, admin) = (free_port()?, free_port()?);
-        // Runs beside one another have addresses of their own.
-        let net = (std::process::id() % 200) as u8 + 20;
+        let (net, claim) = claim_net()?;
         let mut places = Vec::new();
         let mut lists = Vec::new();
         for number in 0..n {
@@ -227,7 +241,16 @@
             may::go!(move || worker::serve(&world, number, &listener, 0));
         }
         let processes = (0..n).map(|_| None).collect();
-        Ok(Run { world, options, known, processes, faults: Vec::new(), takes: (0, 0), _folder: folder })
+        Ok(Run {
+            world,
+            options,
+            known,
+            processes,
+            faults: Vec::new(),
+            takes: (0, 0),
+            _folder: folder,
+            _claim: claim,
+        })
     }
 
     /// Starts a dispatcher; the front admits it once it is ready.
--- a/crates/rig/tests/ledger.rs
+++ b/crates/rig/tests/ledger.rs
@@ -2,6 +2,7 @@
 
 use roselock_rig::ledger::{End, Ledger, Seen, Slack};
 use roselock_rig::links::{Cut, Harm, Links, Party};
+use roselock_rig::run::claim_net;
 use roselock_rig::scenario::{Scenario, all};
 use roselock_rig::{Micros, SECOND};
 use rstest::rstest;
@@ -115,3 +116,10 @@
         "late after the cut, by 100 ms and half of 50"
     );
 }
+
+/// Found as jobs of one run at another's worker: runs in one process had one net, and drew the same port at times.
+#[rstest]
+fn runs_beside_one_another_have_nets_of_their_own() {
+    let (a, b) = (claim_net().expect("a net"), claim_net().expect("another"));
+    assert_ne!(a.0, b.0);
+}
