Gearman tests: ask for the status until it is so, as running is counted a moment later

The worker's connection writes that packet and posts Started to the owner, who counts the job as running a moment later; nothing promises the one before the other.

--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -498,6 +498,19 @@
         let reader = BufReader::new(self.0.try_clone().expect("a clone"));
         reader.lines().map(|l| l.expect("a line")).take_while(|l| l != ".").collect()
     }
+    /// Asks until the line of an administrator's answer that begins with `of` is the one wanted: what a worker has
+    /// taken reaches the counts by the owner's queue, after the worker was told.
+    pub fn until(&mut self, line: &str, of: &str, wanted: &str) {
+        let start = std::time::Instant::now();
+        loop {
+            let told = self.lines(line).into_iter().find(|l| l.split('\t').next() == Some(of));
+            if told.as_deref() == Some(wanted) {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "{told:?} is not {wanted:?}");
+            std::thread::yield_now();
+        }
+    }
     /// As a worker: registers, and sleeps until there is a job.
     pub fn register(&mut self, functions: &[&str]) {
         functions.iter().for_each(|f| self.send(CAN_DO, &[f]));
--- a/dispatcher/tests/gearman.rs
+++ b/dispatcher/tests/gearman.rs
@@ -210,7 +210,7 @@
     let job = worker.take();
     assert_eq!(job[2], "background");
     let mut admin = world.peer();
-    assert_eq!(admin.line("status", 5)[0], "view\t1\t1\t1");
+    admin.until("status", "view", "view\t1\t1\t1");
     worker.send(WORK_COMPLETE, &[&job[0], ""]);
     worker.send(GRAB_JOB, &[]);
     worker.expect(NO_JOB);
--- a/dispatcher/tests/gearman_queue.rs
+++ b/dispatcher/tests/gearman_queue.rs
@@ -63,22 +63,8 @@
         }
         log
     }
-    /// A line of `status` or `show ends`, by its first word.
-    fn told(&self, line: &str, of: &str) -> Option<String> {
-        let mut admin = self.peer();
-        let lines = admin.lines(line);
-        lines.into_iter().find(|l| l.split('\t').next() == Some(of))
-    }
     fn until(&self, line: &str, of: &str, wanted: &str) {
-        let start = Instant::now();
-        loop {
-            let told = self.told(line, of);
-            if told.as_deref() == Some(wanted) {
-                return;
-            }
-            assert!(start.elapsed() < PATIENCE, "{told:?} is not {wanted:?}");
-            std::thread::yield_now();
-        }
+        self.peer().until(line, of, wanted);
     }
 }
 
