Wait at a worker that closes new connections instead of dialling on; [start] door

crates/startup, door: a token bucket for new connections, a drawn pause that doubles with each close, without I/O or clock. core/door.rs: lines at hosts, bounded in length and time, emptied by the word of a drain or of staff; a connection is opened ahead for what must not run twice. A connection that was closed before anything was written counts as one that never ran, also without the key.

Tests: the story fails without the key, the unit test of the drain without the emptied lines.

--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -88,7 +88,7 @@
         let kept = if fresh { None } else { world.pools[dispatcher].lock().ok().and_then(|mut p| p.pop()) };
         let reused = kept.is_some();
         let opened = || Connection::open(world.places[dispatcher].listen, Duration::from_secs(1));
-        let Ok(mut connection) = kept.map_or_else(opened, Ok) else {
+        let Some(mut connection) = world.own(kept.map_or_else(opened, Ok)) else {
             return (End::NotTaken, None);
         };
         let budget = (deadline - world.clock.now()) as f64 / 1e6;
--- a/crates/rig/src/list.rs
+++ b/crates/rig/src/list.rs
@@ -144,7 +144,7 @@
 /// Serves one dispatcher on a listener of its own, for ever.
 pub fn serve(world: &Arc<World>, dispatcher: usize, listener: &TcpListener) {
     for stream in listener.incoming() {
-        let (Ok(stream), world) = (stream, world.clone()) else { return };
+        let (Some(stream), world) = (world.own(stream), world.clone()) else { continue };
         may::go!(move || _ = talk(&world, dispatcher, Connection::new(stream)));
     }
 }
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -146,6 +146,7 @@
     fn expect(&self, scenario: &Scenario, faults: &mut Vec<String>) {
         let expect = &scenario.expect;
         let each = self.calls as f64 / scenario.processes as f64;
+        let failed = self.ends.get(&format!("{:?}", End::Failed)).copied().unwrap_or(0);
         let wants = [
             (
                 expect.calls_each.is_none_or(|most| each <= most),
@@ -163,6 +164,11 @@
                 expect.in_time.is_none_or(|least| self.in_time_all >= least),
                 format!("{:.3} in time", self.in_time_all),
             ),
+            (expect.failed.is_none_or(|most| failed <= most), format!("{failed} tries failed")),
+            (
+                expect.handshakes.is_none_or(|most| self.handshakes <= most),
+                format!("{} new connections at a worker in a second", self.handshakes),
+            ),
         ];
         faults.extend(wants.into_iter().filter(|w| !w.0).map(|w| format!("not as wanted: {}", w.1)));
     }
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -48,6 +48,8 @@
     /// What links draw.
     random: Mutex<Rand64>,
     end: AtomicBool,
+    /// What the rig itself could not do: then no figure of the run is worth anything.
+    unable: Mutex<Option<String>>,
     /// Requests under way.
     pub asking: AtomicUsize,
     /// Ids given to requests.
@@ -71,6 +73,22 @@
         }
         harm
     }
+    /// What a stand-in gets of its own side of the system: a failure that is the rig's, such as too few descriptors or
+    /// ports, ends the run.
+    pub fn own<T>(&self, got: std::io::Result<T>) -> Option<T> {
+        use nix::errno::Errno::{self, EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS};
+        let ours = |e: &std::io::Error| {
+            let number = Errno::from_raw(e.raw_os_error().unwrap_or(0));
+            matches!(number, EMFILE | ENFILE | ENOBUFS | EADDRINUSE | EADDRNOTAVAIL)
+        };
+        got.inspect_err(|e| {
+            if ours(e) {
+                *self.unable.lock().unwrap_or_else(PoisonError::into_inner) = Some(e.to_string());
+                self.clock.sleep_until(self.clock.now() + SECOND / 100);
+            }
+        })
+        .ok()
+    }
     /// Whether the run is over.
     pub fn ended(&self) -> bool {
         self.end.load(Ordering::SeqCst)
@@ -111,7 +129,7 @@
         let pool = &self.calls[dispatcher];
         let kept = pool.lock().ok().and_then(|mut p| p.pop());
         let opened = || Connection::open(self.places[dispatcher].listen, Duration::from_secs(1));
-        let mut connection = kept.map_or_else(opened, Ok)?;
+        let Some(mut connection) = self.own(kept.map_or_else(opened, Ok)) else { return Ok(false) };
         connection.patience(Duration::from_secs(1))?;
         let length = body.len();
         connection.write(&format!(
@@ -226,6 +244,7 @@
             ledger: Mutex::default(),
             random: Mutex::new(Rand64::new(u128::from(options.seed))),
             end: AtomicBool::new(false),
+            unable: Mutex::default(),
             asking: AtomicUsize::new(0),
             ids: AtomicUsize::new(0),
             places,
@@ -324,6 +343,9 @@
 
     /// Looks after the processes: one that ended unasked fails the run.
     fn check(&mut self) -> Result<(), String> {
+        if let Some(why) = self.world.unable.lock().unwrap_or_else(PoisonError::into_inner).take() {
+            return Err(format!("the rig itself was not able to go on: {why}"));
+        }
         for number in 0..self.processes.len() {
             let Some(process) = &mut self.processes[number] else { continue };
             if self.world.killed(number) {
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -171,6 +171,10 @@
     pub listed_s: Option<f64>,
     /// Least share in time, of all requests.
     pub in_time: Option<f64>,
+    /// Most tries that failed.
+    pub failed: Option<usize>,
+    /// Most new connections at one worker in a second.
+    pub handshakes: Option<usize>,
 }
 
 impl Scenario {
@@ -264,5 +268,5 @@
     "cold-start", "old-list", "slow-list", "late-list", "list-out", "watches-end", "cut-half", "staggered", "tenth-starts", "stopped",
     "crash-loop", "few-connections", "drain", "herd-clients", "term-early",
     "cold-30", "list-restarts", "moved", "late-zone", "silent-workers", "words-lost", "resets",
-    "small-told", "empty-list", "replaced", "slow-accepts", "long-aim", "all-return", "old-silent", "late-links", "moved-spread",
+    "small-told", "empty-list", "replaced", "slow-accepts", "long-aim", "all-return", "old-silent", "late-links", "moved-spread", "door", "dials",
 }
--- a/crates/rig/src/worker.rs
+++ b/crates/rig/src/worker.rs
@@ -130,7 +130,7 @@
 pub fn serve(world: &Arc<World>, number: usize, listener: &TcpListener, address: u32) {
     let pause = (world.scenario.workers.accept_ms * 1e3) as Micros;
     for stream in listener.incoming() {
-        let (Ok(stream), world) = (stream, world.clone()) else { return };
+        let (Some(stream), world) = (world.own(stream), world.clone()) else { continue };
         if pause > 0 {
             world.clock.sleep_until(world.clock.now() + pause);
         }
--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -5,6 +5,7 @@
 use crate::wire::discovery::List;
 use crate::wire::{gearman, ipfix};
 use roselock::settings::{Options, Site};
+use roselock_startup::door::Terms;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -96,6 +97,8 @@
     pub site: Site,
     /// Whether moves of discovery are followed at one's place in a round.
     pub spread_moves: bool,
+    /// The terms on which workers' doors are heeded.
+    pub doors: Option<Terms>,
     /// The log.
     pub log: log::File,
     /// The Gearman front, if it is on.
@@ -195,6 +198,7 @@
         limits: file.limits,
         known: file.known,
         spread_moves: parts.start.spread_moves,
+        doors: parts.start.doors(site.settings.fleet_size),
         log: parts.log,
         gearman: parts.gearman,
         ipfix: parts.ipfix,
@@ -213,7 +217,7 @@
     if let (Some(text), Some(file)) = (&operator, &parts.ipfix) {
         ipfix::check(file).map_err(|e| text.at("ipfix.", &e))?;
     }
-    if let (Some(text), Err(problem)) = (&operator, parts.start.list_call()) {
+    if let (Some(text), Err(problem)) = (&operator, parts.start.check()) {
         return Err(text.at("start.", &problem));
     }
     let twice = |part: &str| {
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -51,6 +51,7 @@
     let kept = handover::begin(owner, &operation.hand);
     let mut core = Core::new(inbox.clone(), outlet, flows, operation.clone());
     let fleet = core.add_fleet(site.settings.clone(), config.seed, Some(Box::new(dialer)))?;
+    config.doors.into_iter().for_each(|terms| core.set_doors(fleet, terms));
     let mut watch = Watch {
         registry: registry.clone(),
         rev: Some(config.known.rev),
--- a/dispatcher/src/lifecycle/start.rs
+++ b/dispatcher/src/lifecycle/start.rs
@@ -2,11 +2,14 @@
 
 use super::problem::Problem;
 use roselock::Micros;
+use roselock_startup::door::Terms;
 use serde::Deserialize;
 use toml::Spanned;
 
 /// What a first guess may be, in milliseconds.
 const GUESSES: std::ops::RangeInclusive<f64> = 1.0..=1000.0;
+/// What a bound of new connections may be, a second at one worker.
+const CONNECTIONS: std::ops::RangeInclusive<f64> = 0.1..=100_000.0;
 
 /// The section; what is missing is as on the platform.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -18,6 +21,11 @@
     pub careful: bool,
     /// A list service that has moved is called at one's place in a first round, not at once.
     pub spread_moves: bool,
+    /// Workers that close new connections at once are dialled again after a pause; what needs one waits meanwhile, and
+    /// kept connections that are not used go sooner.
+    door: bool,
+    /// New connections a second that all dispatchers together may open at one worker; turns `door` on, too.
+    connections_per_s: Option<Spanned<f64>>,
 }
 
 impl File {
@@ -31,4 +39,23 @@
         let cure = "the milliseconds that one call takes the list service, from 1 to 1000";
         Err(Problem::new(told.span(), "list_call_ms", format!("{ms} makes no sense"), cure))
     }
+    /// The bound of new connections, if it is told, or what is wrong with it.
+    fn connections(&self) -> Result<Option<f64>, Problem> {
+        let Some(told) = &self.connections_per_s else { return Ok(None) };
+        let n = *told.as_ref();
+        if CONNECTIONS.contains(&n) {
+            return Ok(Some(n));
+        }
+        let cure = "new connections a second that all dispatchers may open at one worker, from 0.1 to 100000";
+        Err(Problem::new(told.span(), "connections_per_s", format!("{n} makes no sense"), cure))
+    }
+    /// What is wrong with the section, if anything.
+    pub fn check(&self) -> Result<(), Problem> {
+        self.list_call().and(self.connections()).map(|_| ())
+    }
+    /// The terms on which workers' doors are heeded, one of `all` dispatchers; none, and they are not.
+    pub fn doors(&self, all: u32) -> Option<Terms> {
+        let bound = self.connections().ok().flatten();
+        (self.door || bound.is_some()).then(|| Terms::part_of(bound, all))
+    }
 }
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -2,6 +2,7 @@
 //! posts what it decides. Only here does an upstream request end: with one verdict for each send.
 
 mod attempts;
+mod door;
 mod errands;
 mod hosts;
 mod operation;
@@ -13,9 +14,10 @@
 use super::*;
 use roselock::settings::fnv;
 use roselock::{Action, Dispatcher, Effect, Event, JobId, JobIn, Listed, Note, Settings};
+use roselock_startup::door::{Door, Terms};
 use roselock_startup::stage::Start;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::mpsc::RecvTimeoutError;
 
 use errands::Unsent;
@@ -43,6 +45,10 @@
     pool: Pool,
     link: Option<Arc<dyn Link>>,
     entry: FleetEntry,
+    /// When it may be dialled, attempts that wait for a connection to it, and whether one is made ready for them.
+    door: Door,
+    line: VecDeque<UpstreamRequest>,
+    knocking: bool,
 }
 
 struct Fleet {
@@ -54,6 +60,10 @@
     events: Vec<Event>,
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
     stepped: Micros,
+    /// Its hosts' doors are heeded on these terms; none, and they are dialled at once.
+    doors: Option<Terms>,
+    /// When a new connection was closed at a door last.
+    closed: Option<Micros>,
 }
 
 struct Stream {
@@ -96,6 +106,8 @@
     quit: bool,
     /// The attempt that this withdraws.
     withdraws: Option<UpstreamId>,
+    /// It waits in its host's line: nothing of it has left.
+    waits: bool,
 }
 
 impl Upstream {
@@ -112,6 +124,7 @@
             ended: false,
             quit: false,
             withdraws: None,
+            waits: false,
         }
     }
 }
@@ -119,6 +132,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Attempt(UpstreamId),
+    /// It has waited in its host's line for long enough.
+    Line(UpstreamId),
     Stream(StreamId),
 }
 
@@ -157,6 +172,10 @@
     due: BinaryHeap<Reverse<(Micros, Due)>>,
     /// Withdrawals that have not arrived, the next one due first.
     unsent: VecDeque<Unsent>,
+    /// Hosts with a line.
+    lines: BTreeSet<(FleetId, WorkerId)>,
+    /// Where the latest draw came from.
+    drawn: u64,
     actions: Vec<Action>,
     swept: Micros,
     arrived: Micros,
@@ -170,7 +189,7 @@
     /// Where call-backs of streams that are not here go, where another process may have them.
     relay: Option<Box<dyn Relay>>,
     hand_seen: u64,
-    told: std::collections::BTreeSet<WorkerId>,
+    told: BTreeSet<WorkerId>,
     published: Micros,
     /// How far the start has come.
     start: Start,
@@ -196,6 +215,8 @@
             next_upstream: 0,
             due: BinaryHeap::new(),
             unsent: VecDeque::new(),
+            lines: BTreeSet::new(),
+            drawn: now as u64,
             actions: Vec::new(),
             swept: now,
             arrived: now,
@@ -245,6 +266,8 @@
             events: Vec::new(),
             timers: BinaryHeap::new(),
             stepped: 0,
+            doors: None,
+            closed: None,
         });
         Ok(self.fleets.len() - 1)
     }
@@ -267,6 +290,7 @@
             let now = clock::now();
             self.fire_due(now);
             self.withdraw_again(now);
+            self.serve_lines(now);
             self.draw(now);
             // Fleets may share hosts: none has the first word on those that become free each time.
             self.by_hand();
@@ -298,7 +322,8 @@
         });
         let unsent = self.unsent.front().map(|u| u.due);
         let feeds = self.feeds.iter().filter_map(|f| f.due());
-        steps.chain(feeds).chain(due).chain(unsent).fold(idle, Micros::min)
+        let doors = self.lines.iter().filter_map(|line| self.door_opens(*line));
+        steps.chain(feeds).chain(due).chain(unsent).chain(doors).fold(idle, Micros::min)
     }
 
     /// Takes in what the feeds have.
--- a/dispatcher/src/memory/core/attempts.rs
+++ b/dispatcher/src/memory/core/attempts.rs
@@ -1,6 +1,7 @@
 //! Upstream requests: put on a connection, heard of, ended with one verdict, given up.
 
 use super::*;
+use roselock_startup::door::wary;
 
 impl Core {
     pub(super) fn heard(&mut self, id: UpstreamId, heard: Heard, link: LinkIs) {
@@ -15,6 +16,11 @@
                 _ => {}
             }
         }
+        if kept.is_none() && matches!(heard, Heard::Taken | Heard::Probed(true, _) | Heard::Withdrawn) {
+            self.fleets[fleet].hosts.get_mut(&host).iter_mut().for_each(|h| h.door.let_in());
+        }
+        let Some(up) = self.upstreams.get_mut(&id) else { return };
+        let knock = matches!(up.errand, Some(Ask::Knock));
         match link {
             LinkIs::Busy => {}
             LinkIs::Closed => up.link = None,
@@ -22,21 +28,29 @@
                 let kept = up.link.take().filter(|l| !l.resident());
                 let ready = self.fleets[fleet].hosts.get_mut(&host);
                 let ready = ready.filter(|h| h.entry.state == Listed::Ready);
-                if let Some((link, host)) = kept.zip(ready) {
-                    host.pool.put(link, clock::now());
+                if let Some((link, ready)) = kept.zip(ready) {
+                    ready.pool.put(link, clock::now());
                 }
             }
         }
+        if knock {
+            self.knocked(fleet, host, matches!(heard, Heard::Broken));
+        }
+        if link == LinkIs::Free {
+            self.seat(fleet, host);
+        }
         match heard {
-            Heard::Taken => {
-                up.taken = true;
-                if up.quit {
+            Heard::Taken | Heard::Started => {
+                let quit = self.upstreams.get_mut(&id).is_some_and(|up| {
+                    up.taken = true;
+                    up.quit && matches!(heard, Heard::Taken)
+                });
+                if quit {
                     self.withdraw(id);
                 }
-            }
-            Heard::Started => {
-                up.taken = true;
-                self.notice(id, Note::Started);
+                if matches!(heard, Heard::Started) {
+                    self.notice(id, Note::Started);
+                }
             }
             Heard::Progress(share) => self.notice(id, Note::Progress(share)),
             Heard::Said(saying, bytes) => {
@@ -64,10 +78,11 @@
                 Some(Ask::Probe) => self.unanswered(fleet, host),
                 _ => {}
             },
+            Heard::TurnedAway(written) => self.turned_away(id, written),
             Heard::Nothing => {}
         }
         self.withdraw_later(id);
-        let lost = |u: &Upstream| u.link.is_none() && !u.taken && !u.ended;
+        let lost = |u: &Upstream| u.link.is_none() && !u.taken && !u.ended && !u.waits;
         if self.upstreams.get(&id).is_some_and(lost) {
             self.end(id, Outcome::Reset, Gauge::default(), Vec::new());
         }
@@ -139,6 +154,9 @@
     /// Stops an attempt: before it is taken by closing its connection, afterwards by a word to the host.
     pub(super) fn give_up(&mut self, id: UpstreamId, outcome: Outcome) {
         let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended) else { return };
+        if up.waits {
+            return self.leave_line(id);
+        }
         let (fleet, host, stream, taken) = (up.fleet, up.host, up.stream, up.taken);
         let resident = up.link.as_ref().is_some_and(|l| l.resident());
         if resident && !taken {
@@ -181,6 +199,14 @@
                     Some(link)
                 }
                 None if fleet.dialer.as_ref().is_some_and(|d| d.room(&request.ask)) => {
+                    if let Some(terms) = fleet.doors.filter(|_| !matches!(request.ask, Ask::Knock)) {
+                        let proven = need == Some(Need::Once) && wary(fleet.closed, now);
+                        let open = host.door.opens(terms, now) <= now && !proven;
+                        if !open || (!host.line.is_empty() && class.is_some()) {
+                            return class.is_some() && self.join_line(up, request);
+                        }
+                        host.door.dialled(terms, now);
+                    }
                     self.next_upstream += 1;
                     up.link = fleet.dialer.as_ref().map(|d| d.dial(endpoint, request));
                     self.upstreams.insert(id, up);
--- a/dispatcher/src/memory/core/errands.rs
+++ b/dispatcher/src/memory/core/errands.rs
@@ -24,6 +24,9 @@
     /// one might be there before: one that the host has yet to take is withdrawn when it has.
     pub(super) fn call_off(&mut self, id: UpstreamId) {
         let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended && !u.quit) else { return };
+        if up.waits {
+            return self.leave_line(id);
+        }
         if up.link.as_ref().is_some_and(|l| l.resident()) {
             return self.give_up(id, Outcome::Cancelled);
         }
@@ -86,6 +89,8 @@
         }
         if matches!(ask, Ask::Probe) {
             self.unanswered(fleet, host);
+        } else if matches!(ask, Ask::Knock) {
+            self.knocked(fleet, host, false);
         } else {
             self.keep(Unsent { due: now + RETRY, fleet, host, ask, withdraws });
         }
--- a/dispatcher/src/memory/core/hosts.rs
+++ b/dispatcher/src/memory/core/hosts.rs
@@ -1,6 +1,7 @@
 //! Upstream hosts: the list, and their idle connections.
 
 use super::*;
+use roselock_startup::door::UNUSED;
 
 impl Core {
     pub(super) fn list(&mut self, f: FleetId, mode: ListMode, hosts: Vec<ListedHost>) {
@@ -35,10 +36,14 @@
                 pool: Pool::default(),
                 link: None,
                 entry: listed.entry.clone(),
+                door: Door::new(clock::now()),
+                line: VecDeque::new(),
+                knocking: false,
             });
             let restarted = listed.entry.up_since > host.entry.up_since;
             if restarted || listed.endpoint != host.endpoint || listed.entry.state != Listed::Ready {
                 host.pool.clear();
+                host.door = Door::new(clock::now());
             }
             (host.endpoint, host.entry) = (listed.endpoint, listed.entry);
             host.link = listed.link;
@@ -48,6 +53,7 @@
             fleet.hosts.retain(|_, h| !gone(h));
         }
         fleet.events.push(Event::Fleet { mode, entries });
+        self.clear_lines(|host| host.entry.state != Listed::Ready);
         let mut hosts = self.fleets.iter().flat_map(|f| f.hosts.values());
         self.inbox.set_able(hosts.any(|h| h.entry.state == Listed::Ready));
     }
@@ -63,7 +69,7 @@
             let trusted = fleet.trust.since(now, Need::Repeatable);
             for host in fleet.hosts.values_mut() {
                 host.pool.expire(since);
-                host.pool.thin(trusted);
+                host.pool.thin(if fleet.doors.is_some() { trusted.max(now - UNUSED) } else { trusted });
             }
         }
     }
--- a/dispatcher/src/memory/core/operation.rs
+++ b/dispatcher/src/memory/core/operation.rs
@@ -42,6 +42,7 @@
             let back = self.told.difference(&out).map(|w| Event::Suspend { worker: *w, out: false });
             fleet.events.extend(taken.chain(back));
         }
+        self.clear_lines(|host| out.contains(&host.entry.worker));
         (self.told, self.hand_seen, self.published) = (out, generation, 0);
         self.operation.hand.told(generation);
     }
--- a/dispatcher/src/memory/core/steps.rs
+++ b/dispatcher/src/memory/core/steps.rs
@@ -11,6 +11,7 @@
             self.due.pop();
             match due {
                 Due::Attempt(id) => self.give_up(id, Outcome::Timeout),
+                Due::Line(id) => self.leave_line(id),
                 Due::Stream(id) => {
                     let Some(stream) = self.streams.get(&id).filter(|s| !s.answered) else { continue };
                     let fleet = stream.fleet;
@@ -97,10 +98,7 @@
         let payload = stream.payload.clone();
         let up = Upstream { stream: job, round, ..Upstream::new(f, worker) };
         let id = self.next_upstream;
-        let need = match self.fleets[f].set.classes[stream.class.0 as usize].effect {
-            Effect::Safe => Need::Repeatable,
-            _ => Need::Once,
-        };
+        let need = door::need(&self.fleets[f].set, Some(stream.class.0 as usize));
         if barred || !self.launch(up, Ask::Run(payload), deadline, Some(need)) {
             let last = self.streams[&job].answered;
             let (job, outcome, gauge) = (JobId(job), Outcome::Moot, Gauge::default());
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -173,6 +173,8 @@
     Withdraw(Arc<Payload>),
     /// How it is.
     Probe,
+    /// Nothing: a new connection that is to be kept, once it was not closed at the door.
+    Knock,
 }
 
 /// An upstream request on its way to a connection.
@@ -252,6 +254,8 @@
     Withdrawn,
     /// The connection ended under a probe or a withdrawal.
     Broken,
+    /// A new connection was closed before its first byte came, as soon as it was up; whether something was written.
+    TurnedAway(bool),
     /// Nothing of note.
     Nothing,
 }
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -1,12 +1,13 @@
 //! Connections to upstream hosts over HTTP/1.1: one upstream request at a time on each.
 
-use super::http::{self, Bad, Message, Reader};
+use super::http::{self, Bad, Message, Reader, by};
 use super::socket::Socket;
 use crate::memory::{Ask, Dialer, Heard, Inbox, Input, Link, LinkIs, UpstreamId, UpstreamRequest, clock};
 use may::sync::mpsc::{Receiver, Sender, channel};
 use roselock::settings::Site;
 use roselock::{Gauge, Outcome};
 use roselock_operation::figures::Figures;
+use roselock_startup::door::AT_THE_DOOR;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -112,6 +113,7 @@
             Ask::Run(_) => Heard::Ended(outcome, Gauge::default(), Vec::new()),
             Ask::Probe => Heard::Probed(false, Gauge::default()),
             Ask::Withdraw(_) => Heard::Nothing,
+            Ask::Knock => Heard::Broken,
         };
         let broken = match request.ask {
             Ask::Run(_) => Heard::Ended(Outcome::Reset, Gauge::default(), Vec::new()),
@@ -126,12 +128,28 @@
                 *state = State::Opening;
             }
         }
-        if self.reader.is_none() && !self.open(request) {
+        let opened = self.reader.is_none().then(clock::now);
+        if opened.is_some() && !self.open(request) {
             return (unsent(Outcome::ConnectFailed), LinkIs::Closed);
         }
+        let at_the_door = |now| opened.is_some_and(|at| now - at <= AT_THE_DOOR);
         let Some((socket, reader)) = &mut self.reader else { return (Heard::Nothing, LinkIs::Closed) };
+        if matches!(request.ask, Ask::Knock) {
+            return match reader.response(by(AT_THE_DOOR)) {
+                Err(Bad::Late) => (Heard::Nothing, LinkIs::Free),
+                _ => (Heard::TurnedAway(false), LinkIs::Closed),
+            };
+        }
+        if opened.is_some() && !socket.is_quiet() {
+            return (Heard::TurnedAway(false), LinkIs::Closed);
+        }
         if write(socket, self.endpoint, request).is_err() {
-            return (unsent(Outcome::ConnectFailed), LinkIs::Closed);
+            let heard = if at_the_door(clock::now()) {
+                Heard::TurnedAway(false)
+            } else {
+                unsent(Outcome::ConnectFailed)
+            };
+            return (heard, LinkIs::Closed);
         }
         request.class.iter().for_each(|class| self.figures.sent(*class));
         match reader.response(request.deadline) {
@@ -142,6 +160,9 @@
             }
             // The owner ends the attempt at its deadline; till then no word is no outcome.
             Err(Bad::Late) => (Heard::Nothing, LinkIs::Closed),
+            Err(_) if at_the_door(clock::now()) && reader.is_empty() => {
+                (Heard::TurnedAway(true), LinkIs::Closed)
+            }
             Err(_) => (broken, LinkIs::Closed),
         }
     }
@@ -189,6 +210,7 @@
             socket.write(&parts, request.deadline)
         }
         Ask::Probe => socket.write(&[b"GET /stats", host.as_bytes(), b"\r\n"], request.deadline),
+        Ask::Knock => Ok(()),
     }
 }
 
@@ -197,6 +219,7 @@
     let report = answer.value("x-load-report").and_then(http::load_report);
     match ask {
         Ask::Withdraw(_) => Heard::Withdrawn,
+        Ask::Knock => Heard::Nothing,
         Ask::Probe => {
             let body = std::str::from_utf8(answer.body()).ok().and_then(http::load_report);
             let gauge = report.or(body).map(|g| site.gauge(&g)).unwrap_or_default();
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -117,6 +117,8 @@
     pub settings: &'a str,
     pub known: &'a str,
     pub gearman: Option<&'a str>,
+    /// The operators' file.
+    pub operator: Option<&'a str>,
     pub collector: Option<SocketAddr>,
     /// With an admin address.
     pub admin: bool,
@@ -135,6 +137,7 @@
             settings,
             known,
             gearman: None,
+            operator: None,
             collector: None,
             admin: false,
             tmp: None,
@@ -241,6 +244,9 @@
             command.arg("--gearman").arg(&path);
             path
         });
+        if let Some(text) = start.operator {
+            command.arg("--operator").arg(file("operator.toml", text));
+        }
         if let Some(collector) = start.collector {
             let text = format!("collector = \"{collector}\"\nobservation_domain = 7\n");
             command.arg("--ipfix").arg(file("ipfix.toml", &text));
--- /dev/null
+++ b/dispatcher/tests/door.rs
@@ -0,0 +1,69 @@
+//! Stories of hosts that keep few connections and close further ones at once.
+
+mod common;
+use common::*;
+use rstest::rstest;
+use std::net::{Shutdown, TcpListener};
+
+const DOOR: &str = "[start]\ndoor = true\n";
+const DONE: &str = r#""state":"done","result":"made","load":{"x0":4}"#;
+
+/// From now on closes each connection as soon as it comes up; told of each.
+fn close_all(listener: &TcpListener) -> std::sync::mpsc::Receiver<()> {
+    let (listener, (closed, told)) = (listener.try_clone().expect("a clone"), std::sync::mpsc::channel());
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let _ = stream.shutdown(Shutdown::Both);
+            if closed.send(()).is_err() {
+                return;
+            }
+        }
+    });
+    told
+}
+
+/// A dispatcher of one host whose one connection is in use, and that has just closed another one.
+fn at_a_full_host(host: &Host) -> (Discovery, Dispatcher, Peer, [Peer; 2]) {
+    let discovery = Discovery::start();
+    let (settings, known) = (settings(0.0, 9.0), list(7, true, &[host.line("ready")]));
+    let dispatcher =
+        Dispatcher::launch(Start { operator: Some(DOOR), ..Start::new(discovery.at, &settings, &known) });
+    // It has room for more than are asked: only connections are few.
+    let mut first = dispatcher.ask("c0", "look", 15.0);
+    let (mut peer, _) = host.take();
+    assert_eq!(dispatcher.call_back("c0", "s-1", DONE), 204);
+    assert_eq!(first.read().expect("an answer").status(), 200);
+    first.ask("c1", "look", 15.0);
+    assert_eq!(peer.read().expect("the next one").header("x-call-id"), Some("c1"));
+    let closed = close_all(&host.listener);
+    let second = dispatcher.ask("c2", "look", 15.0);
+    closed.recv_timeout(PATIENCE).expect("a connection that is closed");
+    (discovery, dispatcher, peer, [first, second])
+}
+
+/// Guards against a host that is full taken for one that has died, and against a payment written to a connection that
+/// is closed at the door: both wait for the connection that there is.
+#[rstest]
+fn who_finds_a_full_host_waits_for_a_connection() {
+    let host = Host::new("s-1");
+    let (_discovery, dispatcher, mut peer, [mut first, mut second]) = at_a_full_host(&host);
+    let mut third = dispatcher.ask("c3", "pay", 15.0);
+    // A round trip after it, so that it has come in.
+    assert_eq!(dispatcher.call_back("none", "s-1", DONE), 204);
+    peer.write(TAKEN);
+    // In whichever order, on the same connection.
+    let mut next = || {
+        let request = peer.read().expect("one that waited");
+        peer.write(TAKEN);
+        request.header("x-call-id").map(str::to_owned)
+    };
+    let mut came = [next(), next()];
+    came.sort();
+    assert_eq!(came, [Some("c2".into()), Some("c3".into())]);
+    assert_eq!(dispatcher.call_back("c1", "s-1", DONE), 204);
+    for (id, client) in [("c2", &mut second), ("c3", &mut third)] {
+        assert_eq!(dispatcher.call_back(id, "s-1", DONE), 204);
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+    assert_eq!(first.read().expect("an answer").status(), 200);
+}
--- a/dispatcher/tests/rig.rs
+++ b/dispatcher/tests/rig.rs
@@ -33,6 +33,8 @@
 #[case("old-silent")]
 #[case("late-links")]
 #[case("moved-spread")]
+#[case("door")]
+#[case("dials")]
 fn the_rules_hold(#[case] name: &str) {
     // A seed that failed is given back in RIG_SEED.
     let seed = std::env::var("RIG_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
