The stories' processes are the rig's: one way to start, follow, signal and end them

The process was: both spawned one, read its log on a thread, sent it signals (the tests by a `kill` command), waited for its end. Now crates/rig has `Process`, which both use, and `Node`, a dispatcher of the rig. What stays apart and why: the stories' peers are scripted word by word on blocking sockets, the rig's act by themselves; the load tool's speak Gearman.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ledger;
 pub mod links;
 pub mod list;
+pub mod node;
 pub mod page;
 pub mod process;
 pub mod report;
--- /dev/null
+++ b/crates/rig/src/node.rs
@@ -0,0 +1,80 @@
+//! Dispatchers as processes of the rig.
+
+use crate::process::Process;
+use crate::scenario::Scenario;
+use nix::sys::signal::Signal;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// What each may take, in MB, and descriptors.
+pub const MEMORY_MB: usize = 64;
+/// See [`MEMORY_MB`].
+pub const SOCKETS: usize = 512;
+
+/// Where a dispatcher is, and what it is told.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Its number.
+    pub number: usize,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Its admin address.
+    pub admin: SocketAddr,
+    /// Its list service.
+    pub list: SocketAddr,
+    /// Where the list service is after it has moved.
+    pub moved: SocketAddr,
+    /// Its own folder.
+    pub folder: PathBuf,
+}
+
+/// A dispatcher that runs.
+pub struct Node {
+    /// Its process.
+    pub process: Process,
+    /// Where it is.
+    pub place: Place,
+}
+
+impl Node {
+    /// Starts one; `known` is the list that it comes up with.
+    pub fn start(
+        program: &Path,
+        place: &Place,
+        scenario: &Scenario,
+        seed: u64,
+        known: &str,
+    ) -> std::io::Result<Node> {
+        let (tmp, name) = (place.folder.join("tmp"), format!("n{}", place.number));
+        std::fs::create_dir_all(&tmp)?;
+        let known: serde_json::Value = serde_json::from_str(known)?;
+        let config = serde_json::json!({
+            "name": name, "listen": place.listen.to_string(), "admin": place.admin.to_string(),
+            "discovery": place.list.to_string(), "seed": format!("{seed:016x}"),
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}, "known": known,
+            "settings": scenario.settings(place.number),
+        });
+        let path = place.folder.join("config.json");
+        std::fs::write(&path, config.to_string())?;
+        let mut command = Command::new(program);
+        command.arg("serve").arg("--config").arg(&path).env("TMPDIR", &tmp);
+        if let Some(operator) = &scenario.operator {
+            let path = place.folder.join("operator.toml");
+            std::fs::write(&path, operator)?;
+            command.arg("--operator").arg(path);
+        }
+        Ok(Node { process: Process::spawn(&name, command)?, place: place.clone() })
+    }
+
+    /// Writes the list service's other address into its configuration, and has it read again.
+    pub fn move_list(&self) -> Result<(), String> {
+        let path = self.place.folder.join("config.json");
+        let place = &self.place;
+        let moved = std::fs::read_to_string(&path)
+            .map(|text| text.replace(&format!("\"{}\"", place.list), &format!("\"{}\"", place.moved)))
+            .and_then(|text| std::fs::write(&path, text));
+        moved.map_err(|e| format!("n{}: {e}", place.number))?;
+        self.process.signal(Signal::SIGHUP)
+    }
+}
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -1,46 +1,24 @@
-//! Dispatchers as processes, ended with whoever holds them.
+//! Processes that end with whoever holds them, and what they log.
 
-use crate::scenario::Scenario;
-use nix::sys::signal::{Signal, kill};
+pub use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
 use nix::unistd::Pid;
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::Mutex;
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, channel};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How long an event may take to come.
 pub const PATIENCE: Duration = Duration::from_secs(30);
-/// What each may take, in MB, and descriptors.
-pub const MEMORY_MB: usize = 64;
-/// See [`MEMORY_MB`].
-pub const SOCKETS: usize = 512;
-
-/// Where a dispatcher is, and what it is told.
-#[derive(Clone, Debug)]
-pub struct Place {
-    /// Its number.
-    pub number: usize,
-    /// Where clients connect.
-    pub listen: SocketAddr,
-    /// Its admin address.
-    pub admin: SocketAddr,
-    /// Its list service.
-    pub list: SocketAddr,
-    /// Where the list service is after it has moved.
-    pub moved: SocketAddr,
-    /// Its own folder.
-    pub folder: PathBuf,
-}
 
 /// The ids of those that run.
 static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
 
-fn running() -> std::sync::MutexGuard<'static, BTreeSet<u32>> {
-    RUNNING.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+fn running() -> MutexGuard<'static, BTreeSet<u32>> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Ends all that run, by their ids; none can be started after it.
@@ -51,43 +29,17 @@
     std::mem::forget(running);
 }
 
-/// A dispatcher that runs.
+/// A process that runs; it is killed, by its id, when this is dropped.
 pub struct Process {
     child: Child,
-    /// Where it is.
-    pub place: Place,
-    log: Receiver<String>,
+    name: String,
+    log: Mutex<Receiver<String>>,
     seen: Vec<String>,
-    stopped: bool,
 }
 
 impl Process {
-    /// Starts one; `known` is the list that it comes up with.
-    pub fn start(
-        program: &Path,
-        place: &Place,
-        scenario: &Scenario,
-        seed: u64,
-        known: &str,
-    ) -> std::io::Result<Process> {
-        let tmp = place.folder.join("tmp");
-        std::fs::create_dir_all(&tmp)?;
-        let known: serde_json::Value = serde_json::from_str(known)?;
-        let config = serde_json::json!({
-            "name": format!("n{}", place.number), "listen": place.listen.to_string(), "admin": place.admin.to_string(),
-            "discovery": place.list.to_string(), "seed": format!("{seed:016x}"),
-            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}, "known": known,
-            "settings": scenario.settings(place.number),
-        });
-        let path = place.folder.join("config.json");
-        std::fs::write(&path, config.to_string())?;
-        let mut command = Command::new(program);
-        command.arg("serve").arg("--config").arg(&path).env("TMPDIR", &tmp);
-        if let Some(operator) = &scenario.operator {
-            let path = place.folder.join("operator.toml");
-            std::fs::write(&path, operator)?;
-            command.arg("--operator").arg(path);
-        }
+    /// Starts one. What it writes to standard error is its log; the other streams are closed to it.
+    pub fn spawn(name: &str, mut command: Command) -> std::io::Result<Process> {
         let mut ids = running();
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).spawn()?;
         ids.insert(child.id());
@@ -98,14 +50,20 @@
         reader.spawn(move || {
             stderr.into_iter().flat_map(|s| s.lines().map_while(Result::ok)).for_each(|l| _ = tell.send(l))
         })?;
-        Ok(Process { child, place: place.clone(), log, seen: Vec::new(), stopped: false })
+        Ok(Process { child, name: name.to_owned(), log: Mutex::new(log), seen: Vec::new() })
+    }
+
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 
     /// Waits until it logs these words; the line.
     pub fn logs(&mut self, words: &str) -> Result<String, String> {
         let until = Instant::now() + PATIENCE;
+        let log = self.log.get_mut().unwrap_or_else(PoisonError::into_inner);
         loop {
-            match self.log.recv_timeout(until.saturating_duration_since(Instant::now())) {
+            match log.recv_timeout(until.saturating_duration_since(Instant::now())) {
                 Ok(line) => {
                     self.seen.push(line.clone());
                     if line.contains(words) {
@@ -113,43 +71,35 @@
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => {
-                    return Err(format!("n{}: {words:?} was not logged", self.place.number));
+                    return Err(format!("{}: {words:?} was not logged", self.name));
                 }
                 Err(RecvTimeoutError::Disconnected) => {
-                    let last = self.last();
-                    return Err(format!("n{}: ended: {last:?}", self.place.number));
+                    let (name, last) = (self.name.clone(), self.last());
+                    return Err(format!("{name}: {words:?} was not logged before it ended: {last:?}"));
                 }
             }
         }
     }
 
+    /// The same, of all that it has logged since its start.
+    pub fn has_logged(&mut self, words: &str) -> Result<String, String> {
+        match self.seen.iter().find(|line| line.contains(words)) {
+            Some(line) => Ok(line.clone()),
+            None => self.logs(words),
+        }
+    }
+
     /// The last lines of its log.
     pub fn last(&mut self) -> Vec<String> {
-        self.seen.extend(self.log.try_iter());
-        let from = self.seen.len().saturating_sub(5);
-        self.seen.split_off(from)
+        let log = self.log.get_mut().unwrap_or_else(PoisonError::into_inner);
+        self.seen.extend(log.try_iter());
+        self.seen[self.seen.len().saturating_sub(5)..].to_vec()
     }
 
     /// Sends it a signal, by its id.
-    pub fn signal(&mut self, signal: Signal) -> Result<(), String> {
-        self.stopped = match signal {
-            Signal::SIGSTOP => true,
-            Signal::SIGCONT => false,
-            _ => self.stopped,
-        };
+    pub fn signal(&self, signal: Signal) -> Result<(), String> {
         kill(Pid::from_raw(self.child.id() as i32), signal)
-            .map_err(|e| format!("n{}: {signal}: {e}", self.place.number))
-    }
-
-    /// Writes the list service's other address into its configuration, and has it read again.
-    pub fn move_list(&mut self) -> Result<(), String> {
-        let path = self.place.folder.join("config.json");
-        let place = &self.place;
-        let moved = std::fs::read_to_string(&path)
-            .map(|text| text.replace(&format!("\"{}\"", place.list), &format!("\"{}\"", place.moved)))
-            .and_then(|text| std::fs::write(&path, text));
-        moved.map_err(|e| format!("n{}: {e}", place.number))?;
-        self.signal(Signal::SIGHUP)
+            .map_err(|e| format!("{}: {signal}: {e}", self.name))
     }
 
     /// Whether it has ended.
@@ -163,6 +113,18 @@
         ended
     }
 
+    /// Waits for its end, for a while.
+    pub fn end(&mut self) -> Result<ExitStatus, String> {
+        let until = Instant::now() + PATIENCE;
+        while !self.ended() {
+            if Instant::now() > until {
+                return Err(format!("{} did not end", self.name));
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        self.child.wait().map_err(|e| format!("{}: {e}", self.name))
+    }
+
     /// Its memory in MB and its descriptors, as the system counts them.
     pub fn takes(&self) -> Option<(usize, usize)> {
         let proc = PathBuf::from(format!("/proc/{}", self.child.id()));
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -4,7 +4,8 @@
 use crate::ledger::{Ledger, Seen, Slack};
 use crate::links::{Harm, Links, Party};
 use crate::list::{self, Line, List};
-use crate::process::{PATIENCE, Place, Process};
+use crate::node::{MEMORY_MB, Node, Place, SOCKETS};
+use crate::process::PATIENCE;
 use crate::report::Report;
 use crate::scenario::{Event, Happens, Scenario};
 use crate::worker::{self, Worker};
@@ -158,7 +159,7 @@
     world: Arc<World>,
     options: Options,
     known: String,
-    processes: Vec<Option<Process>>,
+    processes: Vec<Option<Node>>,
     faults: Vec<String>,
     takes: (usize, usize),
     _folder: tempfile::TempDir,
@@ -281,7 +282,7 @@
         world.list.forget(number);
         let place = &world.places[number];
         world.note(Seen::Started(number));
-        let process = Process::start(&self.options.program, place, &world.scenario, seed, &self.known);
+        let process = Node::start(&self.options.program, place, &world.scenario, seed, &self.known);
         self.processes[number] = Some(process.map_err(|e| format!("n{number}: {e}"))?);
         world.ended_by_rig[number].store(false, Ordering::SeqCst);
         let life = world.lives[number].fetch_add(1, Ordering::SeqCst) + 1;
@@ -347,17 +348,17 @@
             return Err(format!("the rig itself was not able to go on: {why}"));
         }
         for number in 0..self.processes.len() {
-            let Some(process) = &mut self.processes[number] else { continue };
+            let Some(node) = &mut self.processes[number] else { continue };
             if self.world.killed(number) {
                 continue;
             }
-            if process.ended() {
-                return Err(format!("n{number} ended unasked: {:?}", process.last()));
+            if node.process.ended() {
+                return Err(format!("n{number} ended unasked: {:?}", node.process.last()));
             }
             // Before its first instruction it still has the rig's own descriptors, and no memory.
-            if let Some((memory, files)) = process.takes().filter(|t| t.0 > 0) {
+            if let Some((memory, files)) = node.process.takes().filter(|t| t.0 > 0) {
                 self.takes = (self.takes.0.max(memory), self.takes.1.max(files));
-                if memory > crate::process::MEMORY_MB || files > crate::process::SOCKETS {
+                if memory > MEMORY_MB || files > SOCKETS {
                     self.faults
                         .push(format!("n{number} is over its limits: {memory} MB, {files} descriptors"));
                 }
@@ -421,20 +422,20 @@
             self.processes[number] = None;
             return self.start(number);
         }
-        let Some(process) = &mut self.processes[number] else { return Ok(()) };
+        let Some(node) = &mut self.processes[number] else { return Ok(()) };
         match what {
             Happens::Kill | Happens::Term => {
                 world.ended_by_rig[number].store(true, Ordering::SeqCst);
                 world.admitted[number].store(false, Ordering::SeqCst);
                 if what == Happens::Term {
-                    return process.signal(Signal::SIGTERM);
+                    return node.process.signal(Signal::SIGTERM);
                 }
-                process.kill();
+                node.process.kill();
             }
-            Happens::Move => process.move_list()?,
-            Happens::Stop => process.signal(Signal::SIGSTOP)?,
+            Happens::Move => node.move_list()?,
+            Happens::Stop => node.process.signal(Signal::SIGSTOP)?,
             Happens::Continue => {
-                process.signal(Signal::SIGCONT)?;
+                node.process.signal(Signal::SIGCONT)?;
                 world.note(Seen::Resumed(number));
             }
             other => return Err(format!("{other:?} does not befall dispatchers")),
@@ -461,8 +462,8 @@
     fn drop(&mut self) {
         self.world.end.store(true, Ordering::SeqCst);
         // All at once, then each is waited for.
-        for process in self.processes.iter_mut().flatten() {
-            let _ = process.signal(Signal::SIGKILL);
+        for node in self.processes.iter_mut().flatten() {
+            let _ = node.process.signal(Signal::SIGKILL);
         }
         self.processes.clear();
     }
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -1,9 +1,10 @@
 //! The one helper of the stories: a dispatcher as a process, and scripted peers on loopback sockets.
 #![allow(dead_code)]
 
+use roselock_rig::process::{Process, Signal};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
@@ -95,7 +96,7 @@
 
 /// The dispatcher's process, killed with the story.
 pub struct Dispatcher {
-    pub child: Child,
+    pub process: Process,
     pub config: std::path::PathBuf,
     /// The file of the Gearman front, if it is on.
     pub gearman_file: Option<std::path::PathBuf>,
@@ -104,9 +105,6 @@
     pub admin: Option<SocketAddr>,
     /// Its `$TMPDIR`.
     pub tmp: std::path::PathBuf,
-    log: std::sync::Mutex<Receiver<String>>,
-    /// What was read of the log.
-    history: Vec<String>,
 }
 
 /// How a story starts a dispatcher.
@@ -224,7 +222,7 @@
         );
         let mut command = Command::new(env!("CARGO_BIN_EXE_roselock"));
         let config = file("config.json", &config);
-        command.arg("serve").arg("--config").arg(&config).stderr(Stdio::piped());
+        command.arg("serve").arg("--config").arg(&config);
         // Each its own: what one leaves there is not another's.
         let tmp = start.tmp.unwrap_or_else(|| {
             let tmp = dir.join(format!("{}-{unique}-tmp", std::process::id()));
@@ -251,22 +249,10 @@
             let text = format!("collector = \"{collector}\"\nobservation_domain = 7\n");
             command.arg("--ipfix").arg(file("ipfix.toml", &text));
         }
-        let mut child = command.spawn().expect("the dispatcher starts");
-        let (lines, log) = channel();
-        let stderr = BufReader::new(child.stderr.take().expect("piped"));
-        std::thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|l| _ = lines.send(l)));
+        let process = Process::spawn("n0", command).expect("the dispatcher starts");
         let nowhere = bind().local_addr().expect("an address");
-        let mut started = Dispatcher {
-            child,
-            config,
-            gearman_file,
-            http: nowhere,
-            gearman: None,
-            admin: None,
-            tmp,
-            log: log.into(),
-            history: Vec::new(),
-        };
+        let mut started =
+            Dispatcher { process, config, gearman_file, http: nowhere, gearman: None, admin: None, tmp };
         if gearman.is_some() {
             started.gearman = Some(started.logged("Gearman on "));
         }
@@ -289,44 +275,35 @@
 
     /// Reads its log up to these words; what follows them.
     pub fn logs(&mut self, what: &str) -> String {
-        loop {
-            let line = self.log.get_mut().expect("not poisoned").recv_timeout(PATIENCE);
-            let line = line.unwrap_or_else(|e| panic!("{what:?} was not logged: {e}"));
-            self.history.push(line.clone());
-            if let Some((_, rest)) = line.split_once(what) {
-                return rest.trim().to_owned();
-            }
-        }
+        after(&self.process.logs(what).expect("it is logged"), what)
     }
 
     /// The same, of all it has logged since it started.
     pub fn has_logged(&mut self, what: &str) -> String {
-        let before = self.history.iter().find_map(|line| line.split_once(what).map(|(_, rest)| rest.trim()));
-        before.map(str::to_owned).unwrap_or_else(|| self.logs(what))
+        after(&self.process.has_logged(what).expect("it is logged"), what)
     }
 
-    fn signal(&self, name: &str) {
-        let kill = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
-        assert!(kill.expect("kill runs").success());
+    fn signal(&self, signal: Signal) {
+        self.process.signal(signal).expect("it is sent");
     }
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
-        self.signal("-TERM");
+        self.signal(Signal::SIGTERM);
     }
 
     /// Writes its configuration anew, with one text for another, and sends SIGHUP.
     pub fn reload(&self, old: &str, new: &str) {
         let text = std::fs::read_to_string(&self.config).expect("its configuration");
         std::fs::write(&self.config, text.replace(old, new)).expect("it is written");
-        self.signal("-HUP");
+        self.signal(Signal::SIGHUP);
     }
 
     /// Writes the file of the Gearman front anew and sends SIGHUP.
     pub fn reload_gearman(&self, functions: &str) {
         let path = self.gearman_file.as_ref().expect("the front is on");
         std::fs::write(path, format!("listen = \"127.0.0.1:0\"\n{functions}")).expect("it is written");
-        self.signal("-HUP");
+        self.signal(Signal::SIGHUP);
     }
 
     /// A client's request on a connection of its own, sent and not yet answered.
@@ -346,11 +323,9 @@
     }
 }
 
-impl Drop for Dispatcher {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+/// What follows these words in a line.
+fn after(line: &str, words: &str) -> String {
+    line.split_once(words).map_or("", |(_, rest)| rest.trim()).to_owned()
 }
 
 /// A message as read: its first line, its headers in lower case, its body.
--- a/dispatcher/tests/gearman_queue.rs
+++ b/dispatcher/tests/gearman_queue.rs
@@ -263,7 +263,7 @@
     let named = world.dispatcher.logs("a background job has ended");
     assert!(named.contains(&background) && named.contains("invoice-7"), "{named}");
     drop((client, worker));
-    assert!(world.dispatcher.child.wait().expect("its end").success());
+    assert!(world.dispatcher.process.end().expect("its end").success());
 }
 
 /// A background payment whose worker is lost may have run: it is not run again, and its end is named and counted.
@@ -400,6 +400,7 @@
 #[case("[log]\nlevel = \"loud\"\n", &["line 2: level", "unknown variant", "debug"])]
 #[case("[ipfix]\ncollector = \"127.0.0.1:1\"\ntemplate_refresh_s = 0.0\n", &["ipfix.template_refresh_s", "above 0"])]
 #[case("[start]\nlist_call_ms = 0.0\n", &["line 2: start.list_call_ms", "0 makes no sense", "from 1 to 1000"])]
+#[case("[start]\nconnections_per_s = 0.0\n", &["line 2: start.connections_per_s", "0 makes no sense", "from 0.1"])]
 #[case("[start]\ncall_ms = 20.0\n", &["line 2: call_ms", "unknown field", "list_call_ms"])]
 #[case("[nonsense]\n", &["line 1", "unknown field", "gearman"])]
 fn a_bad_operators_file_is_explained(#[case] file: &str, #[case] words: &[&str]) {
--- a/dispatcher/tests/operation.rs
+++ b/dispatcher/tests/operation.rs
@@ -257,13 +257,11 @@
     let during = asking(100);
     assert!(before.join().expect("no panic").iter().chain(&during).all(|s| *s == Some(200)), "{during:?}");
     let since = Instant::now();
-    let exit = loop {
-        if let Some(status) = old.child.try_wait().expect("a state") {
-            break status;
-        }
-        assert!(since.elapsed() < std::time::Duration::from_millis(3700), "the old process is still there");
-        std::thread::sleep(std::time::Duration::from_millis(20));
-    };
+    let exit = old.process.end().expect("its end");
+    assert!(
+        since.elapsed() < std::time::Duration::from_millis(3700),
+        "the old process was there for too long"
+    );
     assert!(exit.success(), "{exit:?}");
     old.has_logged("no more connections are taken");
     assert_eq!(asking(200), vec![Some(200); 20]);
--- a/dispatcher/tests/platform.rs
+++ b/dispatcher/tests/platform.rs
@@ -264,7 +264,7 @@
     assert_eq!(peer.read().expect("a request").header("x-call-id"), Some("c0"));
     peer.write(TAKEN);
     assert!(matches!(late.read().expect("an answer").status(), 500 | 504));
-    assert!(dispatcher.child.wait().expect("its end").success());
+    assert!(dispatcher.process.end().expect("its end").success());
     assert!(told.elapsed().as_secs_f64() < 3.7);
 }
 
@@ -297,7 +297,7 @@
         assert_eq!(client.read().expect("an answer").status(), 200);
     }
     dispatcher.terminate();
-    assert!(dispatcher.child.wait().expect("its end").success());
+    assert!(dispatcher.process.end().expect("its end").success());
 }
 
 /// Who says nothing, or half of something, is told or closed within 3 s, and who sends what makes no sense at
@@ -377,7 +377,7 @@
     let dispatcher =
         Dispatcher::start_within((1, 256), discovery.at, &settings(0.0, 2.0), &known, None, None);
     let status =
-        std::fs::read_to_string(format!("/proc/{}/status", dispatcher.child.id())).expect("its status");
+        std::fs::read_to_string(format!("/proc/{}/status", dispatcher.process.id())).expect("its status");
     let own = status.lines().find_map(|l| l.strip_prefix("RssAnon:")).expect("a line");
     let own: usize = own.trim().trim_end_matches(" kB").parse().expect("a figure");
     assert!(own < 6_000, "{own} kB");
