--- /dev/null
+++ b/crates/peers/examples/measure.rs
@@ -0,0 +1,83 @@
+//! Measures members in simulated time: `measure [MEMBERS] [LOSS] [SECONDS] [SEED]`. All start in one second; then come
+//! 20 quiet seconds, changes of the list, deaths, and the rest of the time with nothing but loss.
+
+#[path = "../tests/sim/mod.rs"]
+mod sim;
+
+use roselock_peers::SECOND;
+use roselock_peers::membership::Change;
+use sim::{World, number};
+
+fn arg<T: std::str::FromStr>(n: usize, otherwise: T) -> T {
+    std::env::args().nth(n).and_then(|a| a.parse().ok()).unwrap_or(otherwise)
+}
+
+fn shares(mut all: Vec<i64>) -> String {
+    all.sort_unstable();
+    let at = |share: f64| all.get(((all.len() - 1) as f64 * share) as usize).map_or(0.0, |t| *t as f64 / 1e6);
+    format!("p50 {:.3} p99 {:.3} last {:.3} s", at(0.5), at(0.99), at(1.0))
+}
+
+fn main() {
+    let (n, loss): (usize, f64) = (arg(1, 300), arg(2, 0.0));
+    let (seconds, seed): (i64, u64) = (arg(3, 60), arg(4, 1));
+    let mut world = World::new(n, seed);
+    world.loss = loss;
+    for i in 0..n {
+        world.run_until(i as i64 * SECOND / n as i64);
+        world.start(i);
+    }
+    let began = std::time::Instant::now();
+    let mut whole = None;
+    for quarter in 5..=120 {
+        world.run_until(quarter * SECOND / 4);
+        if whole.is_none() && world.blind(|_, _| true).is_empty() {
+            whole = Some(world.now);
+        }
+    }
+    let first = world.nodes.iter().filter_map(|x| x.listed).min().unwrap_or(0);
+    let listed =
+        world.nodes.iter().map(|x| x.listed.map_or(i64::MAX / 2, |l| l - x.started.max(first))).collect();
+    println!("{n} members, loss {loss}, seed {seed}");
+    println!("calls to the list service in 30 s: {}", world.calls);
+    println!("from the first list (or the start) to one's own: {}", shares(listed));
+    println!("all know all after {:?} s", whole.map(|w| w as f64 / 1e6));
+    let sent = |world: &World| -> Vec<(u64, u64)> {
+        world.nodes.iter().filter_map(|x| x.peers.as_ref().map(|p| p.figures().sent)).collect()
+    };
+    let (before, from, real) = (sent(&world), world.now, std::time::Instant::now());
+    world.run_until(from + 20 * SECOND);
+    let sum = before.iter().zip(&sent(&world)).fold((0, 0), |s, (a, b)| (s.0 + b.0 - a.0, s.1 + b.1 - a.1));
+    let each = |of: u64| of as f64 / n as f64 / 20.0;
+    let spent = real.elapsed().as_secs_f64() / n as f64 / 20.0;
+    println!(
+        "a member and second: {:.1} packets, {:.0} bytes, {:.0} us of a processor",
+        each(sum.0),
+        each(sum.1),
+        spent * 1e6
+    );
+    let mut told = Vec::new();
+    for k in 0..10 {
+        world.change(&[&format!("s-{k}")], 2);
+        let at = world.now;
+        world.run_until(at + 3 * SECOND);
+        told.extend(
+            world.nodes.iter().map(|x| if x.rev == world.rev { x.told_at - at } else { i64::MAX / 2 }),
+        );
+    }
+    println!("from a change to those told of it: {}", shares(told));
+    let mut known = Vec::new();
+    for k in 0..10.min(n / 10) {
+        let (dead, at) = (n / 2 + k, world.now);
+        world.kill(dead);
+        world.run_until(at + 10 * SECOND);
+        let lost = |c: &&(i64, Change)| c.0 >= at && matches!(&c.1, Change::Lost(m) if number(m.at) == dead);
+        known.extend(
+            world.up().map(|x| world.nodes[x].changes.iter().find(lost).map_or(i64::MAX / 2, |c| c.0 - at)),
+        );
+    }
+    println!("from a death to those that know: {}", shares(known));
+    world.run_until(seconds.max(world.now / SECOND) * SECOND);
+    println!("false deaths told in {} s: {}", world.now / SECOND, world.false_deaths(0));
+    println!("wall time {:.0} s", began.elapsed().as_secs_f64());
+}
--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -121,10 +121,10 @@
             _ if world.killed(dispatcher) => (End::Failed, None),
             _ => (End::Lost, None),
         };
-        if matches!(&answer, Ok(Some(a)) if a.header("connection") != Some("close")) {
-            if let Ok(mut pool) = world.pools[dispatcher].lock() {
-                pool.push(connection);
-            }
+        if matches!(&answer, Ok(Some(a)) if a.header("connection") != Some("close"))
+            && let Ok(mut pool) = world.pools[dispatcher].lock()
+        {
+            pool.push(connection);
         }
         return ended;
     }
--- a/crates/waiting/examples/measure.rs
+++ b/crates/waiting/examples/measure.rs
@@ -189,7 +189,7 @@
             class: (id % 3) as usize,
             not_before: None,
             depends: Depends {
-                on: if id % 5 == 0 { vec![(id - 1, Wants::Ended)] } else { vec![] },
+                on: if id.is_multiple_of(5) { vec![(id - 1, Wants::Ended)] } else { vec![] },
                 ..Depends::default()
             },
             limit: 1_000 * SECOND + id as Micros,
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -351,10 +351,10 @@
             }
             Input::Upstream(id, heard, link) => self.heard(id, heard, link),
             Input::CallBack(call, from, told, gauge, body) => {
-                if !self.calls.contains_key(&call) {
-                    if let (Some(relay), Some(body)) = (&self.relay, body) {
-                        return relay.pass(body);
-                    }
+                if !self.calls.contains_key(&call)
+                    && let (Some(relay), Some(body)) = (&self.relay, body)
+                {
+                    return relay.pass(body);
                 }
                 self.called_back(&call, &from, told, gauge);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -561,11 +561,11 @@
             }
             self.suspended.insert(worker, known.as_ref().map(|e| e.state));
             known.into_iter().for_each(|e| self.heed(ListMode::Changes, &[e], out));
-        } else if let Some(said) = self.suspended.remove(&worker) {
-            if let (Some(mut e), Some(said)) = (known, said) {
-                e.state = said;
-                self.fleet(ListMode::Changes, &[e], out);
-            }
+        } else if let Some(said) = self.suspended.remove(&worker)
+            && let (Some(mut e), Some(said)) = (known, said)
+        {
+            e.state = said;
+            self.fleet(ListMode::Changes, &[e], out);
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -183,11 +183,11 @@
                 self.jobs.entry(j.job.0).or_insert(owed);
             }
             Event::Verdict { job, round, outcome, last, .. } => {
-                if let Some(o) = self.jobs.get_mut(&job.0) {
-                    if let Some(t) = o.tries.get_mut(*round as usize).filter(|t| t.out) {
-                        (t.out, t.never_ran) = (false, outcome.never_ran(self.set.safety.full_unproven));
-                        o.over |= *last;
-                    }
+                if let Some(o) = self.jobs.get_mut(&job.0)
+                    && let Some(t) = o.tries.get_mut(*round as usize).filter(|t| t.out)
+                {
+                    (t.out, t.never_ran) = (false, outcome.never_ran(self.set.safety.full_unproven));
+                    o.over |= *last;
                 }
             }
             Event::CancelledByClient(job) => {
