--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -37,6 +37,8 @@
     pub target: Range<usize>,
     /// What a front keeps beside these: a reducer.
     pub beside: Range<usize>,
+    /// The client's `Idempotency-Key`, by which hosts tell a repeat; empty where it sent none.
+    pub idempotency_key: Range<usize>,
     /// The body.
     pub body: Range<usize>,
 }
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -382,6 +382,7 @@
         peer,
         downstream: Box::new(Nobody),
         payload: Arc::new(Payload {
+            idempotency_key: message.header("idempotency-key").unwrap_or_default(),
             id,
             method: message.method,
             target: message.target,
--- a/dispatcher/src/wire/gearman/jobs.rs
+++ b/dispatcher/src/wire/gearman/jobs.rs
@@ -165,7 +165,16 @@
         (method, target) = (at..at + 4, at + 4..at + 4 + path.len());
     }
     raw.shrink_to_fit();
-    Payload { raw: Arc::new(raw), id: 0..0, given: None, method, target, beside: reducer, body }
+    Payload {
+        raw: Arc::new(raw),
+        id: 0..0,
+        given: None,
+        method,
+        target,
+        beside: reducer,
+        body,
+        ..Payload::default()
+    }
 }
 
 impl Gearman {
@@ -225,6 +234,7 @@
             target: template.target.clone(),
             beside: template.beside.clone(),
             body: template.body.clone(),
+            ..Payload::default()
         };
         let repeat = function.safe[released.priority];
         Some(NewStream {
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -192,6 +192,8 @@
         Ask::Run(p) => {
             let left = clock::left(request.deadline).as_secs_f64();
             let framing = format!("\r\nX-Budget: {left:.6}\r\nContent-Length: {}\r\n\r\n", p.body.len());
+            let key = &p.raw[p.idempotency_key.clone()];
+            let keyed: &[u8] = if key.is_empty() { b"" } else { b"\r\nIdempotency-Key: " };
             let parts = [
                 &p.raw[p.method.clone()],
                 b" ",
@@ -199,6 +201,8 @@
                 host.as_bytes(),
                 b"X-Call-Id: ",
                 p.id().as_bytes(),
+                keyed,
+                key,
                 framing.as_bytes(),
                 &p.raw[p.body.clone()],
             ];
--- a/dispatcher/tests/platform.rs
+++ b/dispatcher/tests/platform.rs
@@ -42,6 +42,24 @@
     assert_eq!(client.read().expect("an answer").status(), 200);
 }
 
+/// The key by which hosts tell a repeat was not passed on: a client that came again with it was served a second time.
+#[rstest]
+fn the_key_of_a_repeat_is_passed_on() {
+    let host = Host::new("s-1");
+    let (_discovery, dispatcher) = world(&[&host]);
+    let mut client = Peer::new(connect(dispatcher.http));
+    let head = "X-Call-Id: c1\r\nX-Call-Class: look\r\nX-Budget: 9\r\nidempotency-key:  \"8e03-a b\" \r\n";
+    client.write(&format!("POST /api/u HTTP/1.1\r\n{head}Content-Length: 4\r\n\r\nbody"));
+    let (mut peer, request) = host.take();
+    assert_eq!(request.headers.iter().filter(|h| h.starts_with("idempotency-key:")).count(), 1);
+    assert_eq!(request.header("idempotency-key"), Some("\"8e03-a b\""));
+    assert_eq!(&request.body[..], b"body");
+    assert_eq!(dispatcher.call_back("c1", "s-1", DONE), 204);
+    assert_eq!(client.read().expect("an answer").status(), 200);
+    client.ask("c2", "look", 9.0);
+    assert_eq!(peer.read().expect("a request").header("idempotency-key"), None);
+}
+
 /// How an attempt ended, and whether the request may be sent again: only what proves that it never ran lets a
 /// payment go to the next host, and what may have run is never answered with 429 or 503.
 #[rstest]
