Discovery: pushed lists are watched, lists found however written, silence told within 6 s

Causes, each shown by a story or case that fails without the change: - `wire/discovery.rs`, `run` opened a watch only when the module asked for one; the module asks only where lists are asked for (`must_watch`). `Lists` (wire/list.rs, no I/O) finds whole JSON objects; what is cut or spoilt is dropped up to the next line that begins with a brace, and counted. - Changes of an earlier version were applied. They are of long ago or of another service: the whole list is asked for. - Silence: 3 s, then a pause, then a place in a round of up to 8 s with 300 dispatchers: told after 12 s at the worst. Now 2.5 s (an empty line comes every 2 s) and at most 2 s. The first call comes within 4.5 s, one after a refusal at once or a failed connection within 4.5 and 3.5 s; a call that waited in the service's queue in vain is still followed by a doubled round. - A list that trickles in kept a watch alive for ever: it has 2.5 s, as silence has. - A wait that a moved watch had overtaken ended in a second call (`Pace::called` now says whether one is due; asks made while a watch is open are answered by it).

Ruled out: pressing a service that is down: 300 dispatchers, each refused at once, make fewer than 150 calls a second (case).

--- a/crates/startup/src/pace.rs
+++ b/crates/startup/src/pace.rs
@@ -24,6 +24,18 @@
 const AT_ONCE: Micros = SECOND / 4;
 /// Where in a round a call comes after two in a row that waited in vain.
 const AGAIN: std::ops::Range<f64> = 0.5..1.2;
+/// An empty line comes on a watch every 2 s: one that says nothing for so long is broken.
+pub const SILENCE: Micros = SECOND * 5 / 2;
+/// What the list service has known for so long counts as told, heard or not.
+const TOLD: Micros = 6 * SECOND;
+/// How long a call takes to be answered, with its connection, in a service that does its work.
+const ANSWER: Micros = SECOND;
+/// The longest waits that leave time to be told: before the first call, and before one to a service that refused the
+/// last one at once or could not be reached, from the moment it is back; after a watch that fell silent; and after a
+/// connection that never came up, for which a call waits as long as for an answer.
+const FIRST: Micros = TOLD - 3 * ANSWER / 2;
+const AFTER_SILENCE: Micros = TOLD - SILENCE - 3 * ANSWER / 2;
+const AFTER_NOTHING: Micros = FIRST - ANSWER;
 /// So many times as long as otherwise a dispatcher may go without asking after a call that failed.
 pub const AFTER_FAILURE: Micros = 4;
 
@@ -61,6 +73,9 @@
     ahead: f64,
     /// The last call waited in vain.
     waited: bool,
+    /// When the next call is due, if one is, and whether any was made.
+    due: Option<Micros>,
+    called: bool,
     /// Least wait before the next call.
     pause: Micros,
 }
@@ -68,7 +83,15 @@
 impl Pace {
     /// A pace that begins with a guess of what one call takes the service, in microseconds.
     pub fn new(guess: Micros) -> Pace {
-        Pace { call: guess.clamp(LEAST, MOST), since: None, ahead: 0.0, waited: false, pause: PAUSE }
+        Pace {
+            call: guess.clamp(LEAST, MOST),
+            since: None,
+            ahead: 0.0,
+            waited: false,
+            due: Some(0),
+            called: false,
+            pause: PAUSE,
+        }
     }
 
     /// What one call is held to take the service, with a margin, in microseconds.
@@ -78,17 +101,23 @@
 
     /// How long to wait before the first call.
     pub fn first(&mut self, round: Round) -> Micros {
-        self.at(round, round.place(), 1)
+        self.at(round, round.place(), 1, FIRST)
     }
 
-    /// A call begins.
-    pub fn called(&mut self, now: Micros) {
-        self.since = Some(now);
+    /// A call begins, if one is due: a wait that was overtaken by another, or by news, ends in none.
+    pub fn called(&mut self, now: Micros) -> bool {
+        let due = self.due.take_if(|at| *at <= now).is_some();
+        if due {
+            (self.since, self.called) = (Some(now), true);
+        }
+        due
     }
 
     /// The service has told something: the call that is under way is answered, if there is one; whether there was.
     pub fn answered(&mut self, now: Micros) -> bool {
         (self.pause, self.waited) = (PAUSE, false);
+        // The list that one starts with is no word of the service.
+        self.due.take_if(|_| self.called);
         let Some(since) = self.since.take() else { return false };
         // No call takes the service longer than its caller waited. What waited beyond the pace is a queue, which
         // those ahead built up together.
@@ -100,17 +129,26 @@
         true
     }
 
-    /// The call failed, or the watch broke: how long to wait before the next one. `draw` is drawn anew, even in 0..1.
-    pub fn broken(&mut self, now: Micros, round: Round, draw: f64) -> Micros {
-        let pause = self.pause;
-        let failed = self.since.take();
-        let mut times = 1;
+    /// The call failed, or the watch broke: how long to wait before the next one. `draw` is drawn anew, even in 0..1;
+    /// `reached` says whether there was a connection to call on.
+    ///
+    /// What changes while the service can be reached counts as told soon. So only a call that waited in its queue in
+    /// vain, the sign of a service with too many callers, is followed by a longer wait.
+    pub fn broken(&mut self, now: Micros, round: Round, draw: f64, reached: bool) -> Micros {
+        let (pause, failed) = (self.pause, self.since.take());
+        let (mut times, mut most) = (1, AFTER_SILENCE);
         let place = match failed {
             Some(since) => {
                 let waited = (now - since).max(0);
                 // A call that waited took its place in a queue. One that failed at once cost next to nothing: the
                 // service is down or turns callers away, and is asked no less often for it once it is back.
-                if waited >= AT_ONCE {
+                let queued = reached && waited >= AT_ONCE;
+                most = match (queued, reached) {
+                    (true, _) => Micros::MAX,
+                    (false, true) => FIRST,
+                    (false, false) => AFTER_NOTHING,
+                };
+                if queued {
                     self.call = (2 * self.call).clamp(LEAST, MOST);
                 }
                 self.pause = (pause * 2).min((round.within / 8).max(PAUSE));
@@ -120,7 +158,7 @@
                 // The first time in a round half as long as what binds: most services cost nothing for a call that they
                 // turned away, and a dispatcher without a list serves nobody.
                 times = AFTER_FAILURE / 2;
-                if std::mem::replace(&mut self.waited, waited >= AT_ONCE) && self.waited {
+                if std::mem::replace(&mut self.waited, queued) && self.waited {
                     times = AFTER_FAILURE;
                     AGAIN.start + draw * (AGAIN.end - AGAIN.start)
                 } else {
@@ -131,12 +169,13 @@
             None => round.place(),
         };
         // At least the pause is spread over, where one is alone or calls take no time.
-        let spread = ((pause as f64 * place) as Micros).max(self.at(round, place, times));
+        let spread = ((pause as f64 * place) as Micros).max(self.at(round, place, times, most - pause));
+        self.due = Some(now + pause + spread);
         pause + spread
     }
 
-    fn at(&mut self, round: Round, place: f64, times: Micros) -> Micros {
+    fn at(&mut self, round: Round, place: f64, times: Micros, most: Micros) -> Micros {
         self.ahead = place * f64::from(round.all);
-        (round.length(self.call, times) as f64 * place) as Micros
+        (round.length(self.call, times).min(most) as f64 * place) as Micros
     }
 }
--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -2,7 +2,7 @@
 
 use super::problem::{Place, Problem, parse};
 use super::{log, start};
-use crate::wire::discovery::List;
+use crate::wire::list::{List, Target};
 use crate::wire::{gearman, ipfix};
 use roselock::settings::{Options, Site};
 use roselock_startup::door::Terms;
@@ -24,10 +24,18 @@
     #[serde(default)]
     limits: Limits,
     #[serde(default)]
-    known: List,
+    known: Known,
     settings: serde_json::Value,
 }
 
+/// The list as last known; what is missing is empty.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Known {
+    rev: u64,
+    targets: Vec<Target>,
+}
+
 /// What the machine grants.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(default)]
@@ -196,7 +204,7 @@
         name: if file.name.is_empty() { env("NODE_NAME").unwrap_or_default() } else { file.name },
         seed,
         limits: file.limits,
-        known: file.known,
+        known: List { rev: file.known.rev, all: true, targets: file.known.targets },
         spread_moves: parts.start.spread_moves,
         doors: parts.start.doors(site.settings.fleet_size),
         log: parts.log,
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -6,10 +6,11 @@
 use crate::memory::core::{Core, Operation};
 use crate::memory::{FleetId, Inbox, Input, clock};
 use crate::wire::admin::{self, Admin};
-use crate::wire::discovery::{Registry, Watch, hosts};
+use crate::wire::discovery::{Registry, Watch};
 use crate::wire::front::{self, Front};
 use crate::wire::gearman::{self, Gearman};
 use crate::wire::ipfix;
+use crate::wire::list::hosts;
 use crate::wire::table::Table;
 use crate::wire::upstream::HttpDialer;
 use may::sync::mpsc::channel;
@@ -60,6 +61,8 @@
         site: config.site.clone(),
         inbox: inbox.clone(),
         fleet,
+        pushed: !config.site.settings.must_watch,
+        figures: operation.figures.clone(),
     };
     let known = hosts(&config.known, &mut watch.site);
     core.came_up_with(fleet, known);
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -371,10 +371,11 @@
                 self.add_fleet(*set, seed, None).expect("checked by whoever made it");
             }
             Input::Feed => {}
-            Input::WatchBroken(fleet) => {
+            Input::WatchBroken(fleet, reached) => {
                 self.start.broken();
                 self.operation.figures.start(&self.start, None);
-                let broken = Event::Fleet { mode: ListMode::Broken, entries: Vec::new() };
+                let mode = if reached { ListMode::Broken } else { ListMode::Unreached };
+                let broken = Event::Fleet { mode, entries: Vec::new() };
                 self.fleets[fleet].events.push(broken);
             }
             Input::Settings(fleet, set) => {
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -315,8 +315,8 @@
     Fleet(FleetId, Box<Settings>, u64),
     /// A feed may have something.
     Feed,
-    /// The watch on the hosts broke.
-    WatchBroken(FleetId),
+    /// The watch on the hosts broke, or a call for one failed; whether there was a connection.
+    WatchBroken(FleetId, bool),
     /// New settings of the decisions, for the same names.
     Settings(FleetId, Box<Settings>),
     /// Finish what is owed, then stop.
--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -1,18 +1,22 @@
 //! The list of upstream hosts, and the watch on its changes.
 
 use super::http::{Bad, Reader, by};
+use super::list::{List, Lists, hosts};
 use super::socket::Socket;
-use crate::memory::{FleetId, Inbox, Input, ListedHost};
+use crate::memory::{FleetId, Inbox, Input};
 use may::sync::mpsc::{Receiver, Sender};
-use roselock::settings::{Site, fnv};
-use roselock::{CellId, FleetEntry, KindId, ListMode, Listed, Micros, SECOND, WorkerId, ZoneId};
-use serde::Deserialize;
+use roselock::settings::Site;
+use roselock::{ListMode, Micros, SECOND};
+use roselock_operation::figures::Figures;
+use roselock_startup::pace::SILENCE;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// How long a call may take, and a watch be silent: an empty line comes every 2 s.
+/// How long a call may take, and the answer to one for a watch, which may wait for its turn.
 const CALL: Micros = SECOND;
-const SILENCE: Micros = 3 * SECOND;
+const TURN: Micros = 3 * SECOND;
+/// Between calls where lists are pushed: the agent is the machine's own, and what it has counts as told at once.
+const PUSHED: std::time::Duration = std::time::Duration::from_millis(100);
 /// A whole list of nobody is hardly ever true: it is asked for again after so long, each time twice as long, at most
 /// [`DOUBLED`] times.
 const NOBODY: Micros = SECOND;
@@ -20,63 +24,6 @@
 /// Longest line.
 const LINE: usize = 1 << 20;
 
-/// A list or its changes, as on the wire.
-#[derive(Clone, Debug, Default, Deserialize)]
-#[serde(default)]
-pub struct List {
-    /// Its version.
-    pub rev: u64,
-    /// Whether it is complete.
-    pub all: bool,
-    /// Its lines.
-    pub targets: Vec<Target>,
-}
-
-/// An upstream host, as on the wire.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Target {
-    uid: String,
-    endpoint: String,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u32,
-    state: String,
-    #[serde(default)]
-    capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: f64,
-}
-
-/// What a list says of the hosts. Lines that make no sense are left out.
-pub fn hosts(list: &List, site: &mut Site) -> Vec<ListedHost> {
-    let host = |t: &Target| {
-        let state = match t.state.as_str() {
-            "ready" => Listed::Ready,
-            "draining" => Listed::Draining,
-            "gone" => Listed::Gone,
-            _ => return None,
-        };
-        let endpoint = t.endpoint.parse().ok();
-        if endpoint.is_none() && state == Listed::Ready {
-            return None;
-        }
-        let entry = FleetEntry {
-            worker: WorkerId(fnv(t.uid.as_bytes())),
-            state,
-            zone: ZoneId(site.zones.id(&t.az) as u16),
-            cell: CellId(t.pod_group),
-            kind: KindId(site.kinds.id(&t.model) as u16),
-            units: t.capacity_hint,
-            up_since: (t.boot_ms > 0.0).then_some((t.boot_ms * 1e3) as Micros),
-        };
-        Some(ListedHost { uid: t.uid.clone(), endpoint, entry, link: None })
-    };
-    list.targets.iter().filter_map(host).collect()
-}
-
 /// Where discovery is, for the watch that asks there and for whoever moves it.
 #[derive(Clone)]
 pub struct Registry {
@@ -130,15 +77,19 @@
     pub inbox: Inbox,
     /// Whose hosts these are.
     pub fleet: FleetId,
+    /// Lists are pushed: the watch is kept from the first moment on, whether or not it is asked for.
+    pub pushed: bool,
+    /// Where spoilt lists are counted.
+    pub figures: Arc<Figures>,
 }
 
 impl Watch {
-    /// Watches whenever it is asked to, until the watch breaks. When to ask again is not decided here; but
-    /// a watch that was moved goes on at the new address at once.
+    /// Watches whenever it is asked to, until the watch breaks; where lists are pushed, always. When to ask again is not
+    /// decided here; but a watch that was moved goes on at the new address at once.
     pub fn run(mut self, asked: &Receiver<()>) {
         let mut watched = 0;
-        while asked.recv().is_ok() {
-            loop {
+        while self.pushed || asked.recv().is_ok() {
+            let reached = loop {
                 // One watch answers all who asked until now.
                 while asked.try_recv().is_ok() {}
                 let (at, moves) = {
@@ -149,18 +100,25 @@
                     // Its versions are its own: the whole list first.
                     (watched, self.rev) = (moves, None);
                 }
-                let ended = self.watch(at, moves);
+                let mut reached = false;
+                let ended = self.watch(at, moves, &mut reached);
                 self.in_vain = if self.nobody { self.in_vain.saturating_add(1) } else { 0 };
                 if self.nobody {
                     // The version of such a list says nothing.
                     self.rev = None;
                 }
                 tracing::warn!("discovery at {at}: the watch ended: {ended:?}");
+                // Who asked while it was open has been answered by it. Before the look at the moves: one that comes
+                // later asks anew.
+                while asked.try_recv().is_ok() {}
                 if self.registry.place().moves == moves {
-                    break;
+                    break reached;
                 }
+            };
+            self.inbox.post(Input::WatchBroken(self.fleet, reached));
+            if self.pushed {
+                may::coroutine::sleep(PUSHED);
             }
-            self.inbox.post(Input::WatchBroken(self.fleet));
         }
     }
 
@@ -175,8 +133,9 @@
         Ok(socket)
     }
 
-    fn watch(&mut self, at: SocketAddr, moves: u64) -> Result<(), Bad> {
+    fn watch(&mut self, at: SocketAddr, moves: u64, reached: &mut bool) -> Result<(), Bad> {
         let mut socket = self.connect(at, moves)?;
+        *reached = true;
         let call = |query: &str| format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {at}\r\n\r\n");
         let mut reader = Reader::new(socket.clone());
         if self.rev.is_none() {
@@ -185,7 +144,10 @@
             if answer.status != 200 {
                 return Err(Bad::Status(answer.status));
             }
-            self.take(answer.body());
+            match serde_json::from_slice(answer.body()) {
+                Ok(list) => self.take(list)?,
+                Err(e) => self.spoilt(&e.to_string()),
+            }
             if answer.close {
                 socket = self.connect(at, moves)?;
                 reader = Reader::new(socket.clone());
@@ -194,45 +156,61 @@
         let Some(rev) = self.rev else { return Err(Bad::Status(400)) };
         let query = format!("?watch=1&after={rev}");
         socket.write(&[call(&query).as_bytes()], by(CALL)).map_err(|_| Bad::Broken)?;
-        let head = reader.stream_head(by(SILENCE))?;
+        let head = reader.stream_head(by(TURN))?;
         if head.status != 200 {
             return Err(Bad::Status(head.status));
         }
-        let mut lines = Vec::new();
+        let mut lists = Lists::default();
         let mut again = None;
+        let mut silent = by(SILENCE);
         loop {
             let ask_again = || by(NOBODY << self.in_vain.min(DOUBLED));
             again = self.nobody.then(|| again.unwrap_or_else(ask_again));
-            if !reader.chunk(&mut lines, LINE, again.unwrap_or_else(|| by(SILENCE)))? {
+            let (mut chunk, begun) = (Vec::new(), lists.held() > 0);
+            if !reader.chunk(&mut chunk, LINE, again.map_or(silent, |at| silent.min(at)))? {
                 return Ok(());
             }
-            while let Some(end) = lines.iter().position(|b| *b == b'\n') {
-                let line: Vec<u8> = lines.drain(..=end).collect();
-                self.take(line.trim_ascii());
+            lists.push(&chunk);
+            let mut whole = false;
+            while let Some(found) = lists.next() {
+                whole = true;
+                match found {
+                    Ok(list) => self.take(list)?,
+                    Err(why) => self.spoilt(&why),
+                }
+            }
+            // A list that trickles in has no longer than silence has: it tells as little.
+            if whole || !begun || lists.held() == 0 {
+                silent = by(SILENCE);
             }
-            if lines.len() > LINE {
+            if lists.held() > LINE {
                 return Err(Bad::Status(413));
             }
         }
     }
 
-    fn take(&mut self, line: &[u8]) {
-        if line.is_empty() {
-            return;
+    /// A list that makes no sense is dropped; the last good one stays.
+    fn spoilt(&self, why: &str) {
+        let count = self.figures.spoilt_list();
+        tracing::warn!("discovery: not a list, dropped ({count} so far): {why}");
+    }
+
+    fn take(&mut self, list: List) -> Result<(), Bad> {
+        if !list.all && self.rev.is_some_and(|rev| list.rev < rev) {
+            // Changes of what is not known here, or of long ago: the whole list is asked for.
+            tracing::warn!("discovery: changes go back to version {}; the whole list is asked for", list.rev);
+            self.rev = None;
+            return Err(Bad::Status(409));
         }
-        match serde_json::from_slice::<List>(line) {
-            Ok(list) => {
-                self.rev = Some(list.rev);
-                // Changes of nothing say nothing of who is there.
-                self.nobody = list.targets.is_empty() && (list.all || self.nobody);
-                if self.nobody {
-                    tracing::warn!("discovery: a list without any host; it is asked for again");
-                }
-                let mode = if list.all { ListMode::Complete } else { ListMode::Changes };
-                let hosts = hosts(&list, &mut self.site);
-                self.inbox.post(Input::Hosts(self.fleet, mode, hosts));
-            }
-            Err(e) => tracing::warn!("discovery: not a list: {e}"),
+        self.rev = Some(list.rev);
+        // Changes of nothing say nothing of who is there.
+        self.nobody = list.targets.is_empty() && (list.all || self.nobody);
+        if self.nobody {
+            tracing::warn!("discovery: a list without any host; it is asked for again");
         }
+        let mode = if list.all { ListMode::Complete } else { ListMode::Changes };
+        let hosts = hosts(&list, &mut self.site);
+        self.inbox.post(Input::Hosts(self.fleet, mode, hosts));
+        Ok(())
     }
 }
--- a/dispatcher/src/wire/mod.rs
+++ b/dispatcher/src/wire/mod.rs
@@ -7,6 +7,7 @@
 pub mod gearman;
 pub mod http;
 pub mod ipfix;
+pub mod list;
 pub mod socket;
 pub mod table;
 pub mod upstream;
--- a/src/api.rs
+++ b/src/api.rs
@@ -418,6 +418,15 @@
     Complete,
     /// A call failed or the subscription broke; the earlier list remains.
     Broken,
+    /// There was not even a connection to call on; the earlier list remains.
+    Unreached,
+}
+
+impl ListMode {
+    /// Whether it is a word of the list service.
+    pub fn tells(self) -> bool {
+        matches!(self, ListMode::Changes | ListMode::Complete)
+    }
 }
 
 /// A load report.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -195,10 +195,7 @@
             }
             Event::CancelledByClient(job) => self.end(*job, out),
             Event::Alarm(TICK_TOKEN) => self.tick_due = None,
-            Event::Alarm(WATCH_TOKEN) => {
-                self.calls.called(self.now);
-                out.push(Action::Watch);
-            }
+            Event::Alarm(WATCH_TOKEN) => out.extend(self.calls.called(self.now).then_some(Action::Watch)),
             Event::Alarm(MOVE_TOKEN) => {}
             Event::Alarm(id) => {
                 let id = JobId(*id as u32);
@@ -502,10 +499,11 @@
     // ---- The list of workers ----
 
     pub(crate) fn fleet(&mut self, mode: ListMode, entries: &[FleetEntry], out: &mut Vec<Action>) {
-        if mode == ListMode::Broken {
+        if !mode.tells() {
             // Ask anew, more slowly so as not to crowd discovery, but within the time that binds us.
-            let (round, draw) = (self.set.round(), self.rng.rand_float());
-            out.push(Action::Timer { after: self.calls.broken(self.now, round, draw), token: WATCH_TOKEN });
+            let (at, round, draw) = (self.now, self.set.round(), self.rng.rand_float());
+            let after = self.calls.broken(at, round, draw, mode == ListMode::Broken);
+            out.push(Action::Timer { after, token: WATCH_TOKEN });
             return;
         }
         let mut changed = mode == ListMode::Complete;
--- a/src/state.rs
+++ b/src/state.rs
@@ -524,7 +524,7 @@
         match event {
             Event::Fleet { mode, entries } => {
                 // News by hand are no answer of discovery.
-                let answered = *mode != ListMode::Broken && self.calls.answered(self.now);
+                let answered = mode.tells() && self.calls.answered(self.now);
                 if answered && std::mem::take(&mut self.careful) {
                     // Who is in doubt only for the age of the list is so no longer.
                     let new = |w: &&mut Worker| w.doubt_pause == 0;
