--- a/crates/startup/src/pace.rs
+++ b/crates/startup/src/pace.rs
@@ -104,6 +104,12 @@
         self.at(round, round.place(), 1, FIRST)
     }
 
+    /// How long to wait before the first call to a service that has moved, where the operators want moves spread: a whole
+    /// round, as they know what a call takes.
+    pub fn moved(&mut self, round: Round) -> Micros {
+        self.at(round, round.place(), 1, Micros::MAX)
+    }
+
     /// A call begins, if one is due: a wait that was overtaken by another, or by news, ends in none.
     pub fn called(&mut self, now: Micros) -> bool {
         let due = self.due.take_if(|at| *at <= now).is_some();
--- a/dispatcher/src/cli.rs
+++ b/dispatcher/src/cli.rs
@@ -79,7 +79,8 @@
 /// Runs a parsed command line.
 pub fn run(args: Args) -> ExitCode {
     let done = match args.command {
-        Command::Serve(s) => s.load().and_then(serve::run),
+        // Before anything else: a signal that nobody catches would end the process.
+        Command::Serve(s) => serve::catch().and_then(|signals| serve::run(s.load()?, signals)),
         Command::Check(c) => c.load().map(|c| println!("{}: the configuration is fine", c.name)),
         Command::Version(_) => {
             println!("roselock {}", env!("CARGO_PKG_VERSION"));
--- a/dispatcher/src/lifecycle/relay.rs
+++ b/dispatcher/src/lifecycle/relay.rs
@@ -4,7 +4,7 @@
 
 use crate::memory::{Inbox, Relay};
 use crate::wire::callbacks;
-use roselock::settings::Site;
+use roselock::settings::{Site, fnv};
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{Read, Seek, SeekFrom, Write};
@@ -36,14 +36,22 @@
 }
 
 /// Starts the thread; what it reads goes to the owner as call-backs that are not passed on again.
+/// The files are named by the dispatcher, its classes and its tenants: another customer's, where a folder is shared, are
+/// not read.
 pub fn start(name: &str, site: Arc<Site>, inbox: Inbox) -> Box<dyn Relay> {
     let (queue, outlet) = sync_channel(QUEUE);
-    let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
-    let prefix = format!("roselock-{name}.relay.");
+    let prefix = prefix(name, &[site.classes.names(), site.tenants.names()]);
     std::thread::spawn(move || run(&prefix, &site, &inbox, &outlet));
     Box::new(Sender { queue })
 }
 
+/// What the names of the files begin with.
+fn prefix(name: &str, names: &[&[String]]) -> String {
+    let whose = fnv(format!("{name:?} {names:?}").as_bytes());
+    let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
+    format!("roselock-{name}-{whose:016x}.relay.")
+}
+
 /// A file of another process, read up to here.
 struct Other {
     file: File,
@@ -134,16 +142,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::records;
-
-    #[test]
-    fn whole_records_are_read_and_a_part_waits() {
-        let bytes = b"3\nabc\n5\nhello\n4\nha";
-        let (read, used) = records(bytes);
-        assert_eq!(read, [b"abc".to_vec(), b"hello".to_vec()]);
-        assert_eq!(used, 14);
-        // Nonsense ends the file's reading rather than taking a part for a whole.
-        assert_eq!(records(b"x\nabc\n"), (Vec::new(), 6));
-    }
-}
+#[path = "relay_tests.rs"]
+mod tests;
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -3,7 +3,7 @@
 use super::config::{self, Config};
 use super::log;
 use super::{handover, inherit, relay};
-use crate::memory::core::{Core, Operation};
+use crate::memory::core::{Core, Operation, longest};
 use crate::memory::{FleetId, Inbox, Input, clock};
 use crate::wire::admin::{self, Admin};
 use crate::wire::discovery::{Registry, Watch};
@@ -14,7 +14,8 @@
 use crate::wire::table::Table;
 use crate::wire::upstream::HttpDialer;
 use may::sync::mpsc::channel;
-use roselock::settings::fnv;
+use roselock::Micros;
+use roselock::settings::{Site, fnv};
 use roselock_startup::pace::Pace;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -26,11 +27,18 @@
 /// Coroutines kept with their stacks for the next ones: each takes two pages even before its first use.
 const COROUTINES: usize = 64;
 
+/// How long connections may take to end at the end of the process, and how often they are looked at.
+const FAREWELL: Micros = 300_000;
+const LOOK: std::time::Duration = std::time::Duration::from_millis(5);
+
+/// Catches the signals that [`run`] heeds; those that come before it is there wait for it.
+pub fn catch() -> Result<Signals, String> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| e.to_string())
+}
+
 /// Serves until SIGTERM, and then until nothing is owed.
-pub fn run(config: Config) -> Result<(), String> {
+pub fn run(config: Config, signals: Signals) -> Result<(), String> {
     let _log = log::start(config.log);
-    // Before anything else: a signal that nobody catches would end the process.
-    let signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| e.to_string())?;
     // One core, shared with the thread that owns the decisions.
     may::config().set_workers(1).set_stack_size(STACK).set_pool_capacity(COROUTINES);
     let (inbox, outlet) = Inbox::new();
@@ -80,8 +88,10 @@
         inherited,
         figures: operation.figures.clone(),
     });
+    inbox.set_longest(longest(&config.site.settings));
     let accepting = front.clone();
     may::go!(move || front::accept(accepting, &listener));
+    let table = front.table.clone();
     let gearman = config.gearman.as_ref().map(|file| {
         let bytes = shares.further_bytes;
         let figures = gearman::file::figures(file, bytes).map_err(|e| e.to_string())?;
@@ -130,9 +140,15 @@
     let name = config.name.clone();
     tracing::info!("{name}: serving on {listen}");
     let moves = Arc::default();
-    heed_signals(signals, config, Parts { inbox, fleet, registry, moves, gearman });
+    heed_signals(signals, config, Parts { inbox: inbox.clone(), fleet, registry, moves, gearman });
     // This thread owns the decisions from here on.
     core.run();
+    // Nothing more is taken on. Those who rest are told so, and what crosses it is read: their clients send it elsewhere.
+    table.finish();
+    let last = inbox.ends_by().min(clock::now() + FAREWELL);
+    while table.open() > 0 && clock::now() < last {
+        std::thread::sleep(LOOK);
+    }
     tracing::info!("{name}: nothing is owed, done");
     Ok(())
 }
@@ -171,23 +187,29 @@
 }
 
 impl Parts {
-    /// Puts a new configuration in the place of the old one; says what only a new start can change.
-    fn reload(&self, old: &Config, new: &Config) {
+    /// Puts a new configuration in the place of the old one; says what only a new start can change. `running` are the
+    /// settings in use: a file whose names are others was read before, and is not.
+    fn reload(&self, old: &Config, new: &Config, running: &mut Site) {
         let name = &old.name;
+        let same = new.site.names_as(running);
         if new.discovery != old.discovery {
             self.move_discovery(name, new);
         }
-        if new.site.names_as(&old.site) {
+        if same {
+            *running = new.site.clone();
             self.inbox.post(Input::Settings(self.fleet, Box::new(new.site.settings.clone())));
         } else {
-            tracing::info!("{name}: other classes, tenants, zones or kinds take effect at the next start");
+            tracing::warn!(
+                "{name}: other classes, tenants, zones, kinds or load reports take effect at the next start; the settings in \
+                 use stay"
+            );
         }
         if (new.listen, new.limits) != (old.listen, old.limits) {
             tracing::info!("{name}: another address or other limits take effect at the next start");
         }
         log::set_level(new.log.level);
         match (&self.gearman, &new.gearman) {
-            (Some(_), Some(_)) if !new.site.names_as(&old.site) => {}
+            (Some(_), Some(_)) if !same => {}
             (Some(front), Some(file)) => match front.reload(file.clone(), Arc::new(new.site.clone())) {
                 Ok(later) => later.iter().for_each(|what| {
                     tracing::warn!("{name}: gearman: {what} take effect at the next start");
@@ -206,7 +228,7 @@
         let (this, moves) = (self.moves.fetch_add(1, Ordering::SeqCst) + 1, self.moves.clone());
         let (name, at, registry) = (name.to_owned(), new.discovery, self.registry.clone());
         let settings = &new.site.settings;
-        let wait = if new.spread_moves { Pace::new(settings.list_call).first(settings.round()) } else { 0 };
+        let wait = if new.spread_moves { Pace::new(settings.list_call).moved(settings.round()) } else { 0 };
         let move_now = move || {
             if moves.load(Ordering::SeqCst) == this && registry.move_to(at) {
                 tracing::info!("{name}: discovery is at {at} from now on");
@@ -224,11 +246,12 @@
 
 fn heed_signals(mut signals: Signals, mut config: Config, parts: Parts) {
     std::thread::spawn(move || {
+        let mut running = config.site.clone();
         for signal in signals.forever() {
             if signal == SIGHUP {
                 match config::load(config.files.clone()) {
                     Ok(new) => {
-                        parts.reload(&config, &new);
+                        parts.reload(&config, &new, &mut running);
                         config = new;
                     }
                     Err(why) => tracing::error!("{}: the old configuration is kept: {why}", config.name),
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -10,7 +10,7 @@
 mod streams;
 
 use super::clock;
-use super::pool::{Need, Pool, Trust};
+use super::pool::{Need, Pool, SETTLE, Trust};
 use super::*;
 use roselock::settings::fnv;
 use roselock::{Action, Dispatcher, Effect, Event, JobId, JobIn, Listed, Note, Settings};
@@ -27,10 +27,9 @@
 const BACKSTOP: Micros = 5_000;
 /// A process that is told to stop ends once no stream has come for so long.
 const QUIET: Micros = 400_000;
-/// What it takes on later than the first of these after that has its answer by the second, since soon after it the
-/// process may be killed. For earlier streams nobody counts on more than their own deadlines.
+/// What it takes on later than this after that has its answer by [`Inbox::out_by`], since soon after it the process may
+/// be killed. For earlier streams nobody counts on more than their own deadlines.
 const TAKES_ON: Micros = 600_000;
-const OUT_BY: Micros = 3_500_000;
 /// How long an id counts as used, and how many are kept.
 const USED_FOR: Micros = 60_000_000;
 const USED: usize = 8192;
@@ -66,6 +65,13 @@
     closed: Option<Micros>,
 }
 
+/// The client's side of a stream whose client has left.
+struct Gone;
+
+impl Downstream for Gone {
+    fn answer(&self, _: Answer, _: u32) {}
+}
+
 struct Stream {
     fleet: FleetId,
     class: ClassId,
@@ -78,8 +84,12 @@
     rounds: u32,
     /// The attempt that is out.
     out: Option<UpstreamId>,
-    /// The host that handed it back last, and when.
-    handed_back: Option<(WorkerId, Micros)>,
+    /// The host whose call-back ended its last attempt, and what that said.
+    called_back: Option<(WorkerId, Outcome)>,
+    /// The window in which its class may be repeated, as it was when it came, if it has one.
+    window: Option<Micros>,
+    /// From when on it may not begin again: the first attempt that may have run left that long before.
+    begin_by: Micros,
     /// Attempts that may have run, those before it came in included.
     ran: u32,
     /// Its last attempt ended by its time.
@@ -93,6 +103,8 @@
     stream: StreamId,
     host: WorkerId,
     round: u32,
+    /// When it was sent.
+    sent: Micros,
     link: Option<Arc<dyn Link>>,
     /// How long its connection had idled, if it is a kept one.
     idle: Option<Micros>,
@@ -117,6 +129,7 @@
             stream: 0,
             host,
             round: 0,
+            sent: 0,
             link: None,
             idle: None,
             errand: None,
@@ -170,6 +183,8 @@
     upstreams: HashMap<UpstreamId, Upstream>,
     next_upstream: UpstreamId,
     due: BinaryHeap<Reverse<(Micros, Due)>>,
+    /// Attempts given up before their host had said that it has them, until their connections say what became of them.
+    abandoned: HashMap<UpstreamId, (FleetId, WorkerId, Arc<Payload>)>,
     /// Withdrawals that have not arrived, the next one due first.
     unsent: VecDeque<Unsent>,
     /// Hosts with a line.
@@ -212,6 +227,7 @@
             calls: HashMap::new(),
             used: Used::default(),
             upstreams: HashMap::new(),
+            abandoned: HashMap::new(),
             next_upstream: 0,
             due: BinaryHeap::new(),
             unsent: VecDeque::new(),
@@ -302,10 +318,13 @@
             if parting {
                 self.feeds.iter().for_each(|f| f.part());
             }
+            // From the last moment on those who still come are refused at once.
+            let late = self.inbox.stopping().is_some_and(|at| now - at >= self.inbox.out_by());
             if parting
                 && self.streams.values().all(|s| s.answered)
                 && self.inbox.unwritten() == 0
-                && now - self.arrived >= QUIET
+                && (late || now - self.arrived >= QUIET)
+                && self.inbox.close()
             {
                 return;
             }
@@ -339,11 +358,17 @@
     /// Takes in one input.
     pub fn handle(&mut self, input: Input) {
         match input {
-            Input::Arrived(new) => self.arrive(*new),
+            Input::Arrived(new) => {
+                self.inbox.entered();
+                self.arrive(*new);
+            }
             Input::Left(id) => {
                 let Some(stream) = self.streams.get_mut(&id).filter(|s| !s.answered) else { return };
                 stream.answered = true;
+                // Its connection need not stay open for as long as an attempt may be out.
+                stream.downstream = Box::new(Gone);
                 let fleet = stream.fleet;
+                self.hold_back(id);
                 self.operation.figures.left();
                 self.record(id, Finish::Left, 0);
                 self.fleets[fleet].events.push(Event::CancelledByClient(JobId(id)));
@@ -381,7 +406,10 @@
             Input::Settings(fleet, set) => {
                 let fleet = &mut self.fleets[fleet];
                 match fleet.dispatcher.retell(&set) {
-                    Ok(()) => fleet.set = *set,
+                    Ok(()) => {
+                        self.inbox.set_longest(longest(&set));
+                        fleet.set = *set;
+                    }
                     Err(why) => tracing::warn!("the old settings are kept: {why}"),
                 }
             }
@@ -391,63 +419,16 @@
     }
 }
 
+/// The longest deadline of any class.
+pub fn longest(set: &Settings) -> Micros {
+    set.classes.iter().map(|c| c.give_up).max().unwrap_or(0)
+}
+
 /// How long a connection may idle by what is told, with a margin.
 fn told_idle(set: &Settings) -> Micros {
     set.limits.conn_idle * 2 / 3
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rstest::rstest;
-    use std::sync::Mutex;
-
-    struct One(Mutex<Option<NewStream>>);
-
-    impl Feed for One {
-        fn next(&self, _: Micros) -> Option<NewStream> {
-            self.0.lock().expect("not poisoned").take()
-        }
-        fn due(&self) -> Option<Micros> {
-            None
-        }
-        fn part(&self) {}
-    }
-
-    struct Nobody;
-
-    impl Downstream for Nobody {
-        fn answer(&self, _: Answer, _: u32) {}
-    }
-
-    /// Guards against a process that ends: a feed released a job of a function that had just been made, while the
-    /// news of its fleet was still in the queue.
-    #[rstest]
-    fn a_feed_may_be_ahead_of_the_news_of_a_fleet() {
-        let options = r#"{"fleetSize":1,"lanes":[{"name":"look","promiseS":0.2,"giveUpS":5,"effect":"safe"}],"tickS":0.005}"#;
-        let options: roselock::settings::Options = serde_json::from_str(options).expect("options");
-        let set = options.site().expect("settings").settings;
-        let (inbox, outlet) = Inbox::new();
-        let mut core = Core::new(inbox.clone(), outlet, None, Operation::new(vec!["look".into()]));
-        assert_eq!(core.add_fleet(set.clone(), 7, None), Ok(0));
-        let (id, deadline) = (inbox.stream_id(), clock::now() + 5_000_000);
-        core.add_feed(Box::new(One(Mutex::new(Some(NewStream {
-            id,
-            fleet: 1,
-            class: ClassId(0),
-            tenant: None,
-            key: None,
-            slots: 1.0,
-            memory: 0.0,
-            hint: None,
-            deadline,
-            ran: 0,
-            peer: ([127, 0, 0, 1], 1).into(),
-            payload: Arc::new(Payload { given: Some("c1".into()), ..Payload::default() }),
-            downstream: Box::new(Nobody),
-        })))));
-        inbox.post(Input::Fleet(1, Box::new(set), 7));
-        core.draw(clock::now());
-        assert_eq!((core.fleets.len(), core.streams.len(), core.fleets[1].events.len()), (2, 1, 1));
-    }
-}
+#[path = "core_tests.rs"]
+mod tests;
--- a/dispatcher/src/memory/core/attempts.rs
+++ b/dispatcher/src/memory/core/attempts.rs
@@ -3,8 +3,17 @@
 use super::*;
 use roselock_startup::door::wary;
 
+/// Before the end of the window in which a repeat may be sent, for its way.
+const WITHIN: Micros = 10_000;
+
 impl Core {
     pub(super) fn heard(&mut self, id: UpstreamId, heard: Heard, link: LinkIs) {
+        // It was given up while its host's word that it has it was on the way: the host need not go on.
+        if let Some((fleet, host, payload)) = self.abandoned.remove(&id)
+            && matches!(heard, Heard::Taken)
+        {
+            self.errand(fleet, host, Ask::Withdraw(payload), Some(Need::Errand), None);
+        }
         let Some(up) = self.upstreams.get_mut(&id) else { return };
         let (fleet, host) = (up.fleet, up.host);
         let kept = up.idle.take_if(|_| link != LinkIs::Busy);
@@ -29,7 +38,9 @@
                 let ready = self.fleets[fleet].hosts.get_mut(&host);
                 let ready = ready.filter(|h| h.entry.state == Listed::Ready);
                 if let Some((link, ready)) = kept.zip(ready) {
-                    ready.pool.put(link, clock::now());
+                    // Of a second 202 nothing would end.
+                    let rest = if matches!(heard, Heard::Taken) { 0 } else { SETTLE };
+                    ready.pool.put(link, clock::now(), rest);
                 }
             }
         }
@@ -107,12 +118,17 @@
             return;
         }
         // A repeat of the word that ended the attempt before, at the same host, says nothing of this one.
-        let repeat = stream.handed_back.is_some_and(|(host, _)| host == up.host) && !up.taken;
+        let before = stream.called_back.filter(|(host, _)| *host == up.host && !up.taken);
+        let host = up.host;
         match told {
             Told::Started => self.notice(id, Note::Started),
             Told::Progress(share) => self.notice(id, Note::Progress(share)),
-            Told::Ended(Outcome::Full, _) if repeat => {}
-            Told::Ended(outcome, body) => self.end(id, outcome, gauge, body),
+            Told::Ended(outcome, _) if before.is_some_and(|(_, word)| word == outcome) => {}
+            Told::Ended(outcome, body) => {
+                let stream = self.calls.get(call).and_then(|id| self.streams.get_mut(id));
+                stream.into_iter().for_each(|s| s.called_back = Some((host, outcome)));
+                self.end(id, outcome, gauge, body);
+            }
         }
         self.drop_upstream(id);
     }
@@ -132,15 +148,16 @@
     pub(super) fn end(&mut self, id: UpstreamId, outcome: Outcome, gauge: Gauge, body: Vec<u8>) {
         let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended) else { return };
         up.ended = true;
-        let (job, round, fleet, host) = (up.stream, up.round, up.fleet, up.host);
+        let (job, round, fleet, sent) = (up.stream, up.round, up.fleet, up.sent);
         let Some(stream) = self.streams.get_mut(&job) else { return };
         stream.out = None;
         stream.downstream.running(false);
         stream.timed_out = outcome == Outcome::Timeout;
-        let unproven = self.fleets[fleet].set.safety.full_unproven;
-        stream.ran += !outcome.never_ran(unproven) as u32;
-        if outcome == Outcome::Full {
-            stream.handed_back = Some((host, clock::now()));
+        let set = &self.fleets[fleet].set;
+        if !outcome.never_ran(set.safety.full_unproven) {
+            stream.ran += 1;
+            let end = stream.window.map(|window| sent + window - WITHIN);
+            stream.begin_by = end.map_or(stream.begin_by, |end| stream.begin_by.min(end));
         }
         let last = stream.answered || outcome == Outcome::Ok;
         let verdict = Event::Verdict { job: JobId(job), round, outcome, last, gauge };
@@ -151,6 +168,34 @@
         self.forget(job);
     }
 
+    /// An attempt of a stream that needs none any more, of which nothing has left, ends: it never ran.
+    pub(super) fn hold_back(&mut self, stream: StreamId) {
+        let out = self.streams.get(&stream).and_then(|s| s.out);
+        out.into_iter().for_each(|id| self.hold_back_attempt(id));
+    }
+
+    /// The same of one attempt.
+    pub(super) fn hold_back_attempt(&mut self, id: UpstreamId) {
+        let Some(up) = self.upstreams.get(&id).filter(|u| !u.ended) else { return };
+        if up.waits {
+            return self.leave_line(id);
+        }
+        if up.link.as_ref().is_some_and(|l| l.hold_back()) {
+            self.upstreams.entry(id).and_modify(|u| u.link = None);
+            self.end(id, Outcome::Moot, Gauge::default(), Vec::new());
+            self.drop_upstream(id);
+        }
+    }
+
+    /// Attempts at such hosts of which nothing has left end: the connection might come up after the host has drained.
+    pub(super) fn hold_back_at(&mut self, f: FleetId, of: impl Fn(&Host) -> bool) {
+        let hosts = &self.fleets[f].hosts;
+        let there =
+            |u: &Upstream| u.fleet == f && !u.ended && !u.taken && hosts.get(&u.host).is_some_and(&of);
+        let ids: Vec<_> = self.upstreams.iter().filter(|u| there(u.1)).map(|u| *u.0).collect();
+        ids.into_iter().for_each(|id| self.hold_back_attempt(id));
+    }
+
     /// Stops an attempt: before it is taken by closing its connection, afterwards by a word to the host.
     pub(super) fn give_up(&mut self, id: UpstreamId, outcome: Outcome) {
         let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended) else { return };
@@ -167,6 +212,9 @@
             up.link.take().iter().for_each(|l| l.abort(id));
         }
         let payload = self.streams.get(&stream).map(|s| s.payload.clone());
+        if let Some(payload) = payload.clone().filter(|_| !taken) {
+            self.abandoned.insert(id, (fleet, host, payload));
+        }
         self.end(id, outcome, Gauge::default(), Vec::new());
         self.drop_upstream(id);
         if let Some(payload) = payload.filter(|_| taken && !resident) {
@@ -183,41 +231,43 @@
         need: Option<Need>,
     ) -> bool {
         let runs = matches!(ask, Ask::Run(_)).then(|| self.streams.get(&up.stream)).flatten();
-        let class = runs.map(|s| s.class.0 as usize);
+        let (class, begin_by) = (runs.map(|s| s.class.0 as usize), runs.map_or(Micros::MAX, |s| s.begin_by));
         let fleet = &mut self.fleets[up.fleet];
         let now = clock::now();
         let id = self.next_upstream;
         let connect_by = now + fleet.set.limits.connect_timeout;
-        let request = UpstreamRequest { id, ask, connect_by, deadline, class };
+        let request = UpstreamRequest { id, ask, connect_by, begin_by, deadline, class };
         let Some(host) = fleet.hosts.get_mut(&up.host) else { return false };
         let link = match (&host.link, host.endpoint) {
             (Some(link), _) => Some(link.clone()),
             (None, None) => None,
-            (None, Some(endpoint)) => match need.and_then(|n| host.pool.take(fleet.trust.since(now, n), n)) {
-                Some((since, link)) => {
-                    up.idle = Some(now - since);
-                    Some(link)
-                }
-                None if fleet.dialer.as_ref().is_some_and(|d| d.room(&request.ask)) => {
-                    if let Some(terms) = fleet.doors.filter(|_| !matches!(request.ask, Ask::Knock)) {
-                        let proven = need == Some(Need::Once) && wary(fleet.closed, now);
-                        let open = host.door.opens(terms, now) <= now && !proven;
-                        if !open || (!host.line.is_empty() && class.is_some()) {
-                            return class.is_some() && self.join_line(up, request);
+            (None, Some(endpoint)) => {
+                match need.and_then(|n| host.pool.take(now, fleet.trust.since(now, n), n)) {
+                    Some((since, link)) => {
+                        up.idle = Some(now - since);
+                        Some(link)
+                    }
+                    None if fleet.dialer.as_ref().is_some_and(|d| d.room(&request.ask)) => {
+                        if let Some(terms) = fleet.doors.filter(|_| !matches!(request.ask, Ask::Knock)) {
+                            let proven = need == Some(Need::Once) && wary(fleet.closed, now);
+                            let open = host.door.opens(terms, now) <= now && !proven;
+                            if !open || (!host.line.is_empty() && class.is_some()) {
+                                return class.is_some() && self.join_line(up, request);
+                            }
+                            host.door.dialled(terms, now);
                         }
-                        host.door.dialled(terms, now);
+                        self.next_upstream += 1;
+                        up.link = fleet.dialer.as_ref().map(|d| d.dial(endpoint, request));
+                        self.upstreams.insert(id, up);
+                        return true;
+                    }
+                    None => {
+                        // No descriptor to spare: an idle connection elsewhere makes room for the next try.
+                        fleet.hosts.values_mut().any(|h| h.pool.shed());
+                        None
                     }
-                    self.next_upstream += 1;
-                    up.link = fleet.dialer.as_ref().map(|d| d.dial(endpoint, request));
-                    self.upstreams.insert(id, up);
-                    return true;
-                }
-                None => {
-                    // No descriptor to spare: an idle connection elsewhere makes room for the next try.
-                    fleet.hosts.values_mut().any(|h| h.pool.shed());
-                    None
                 }
-            },
+            }
         };
         let Some(link) = link else { return false };
         if !link.start(request) {
--- a/dispatcher/src/memory/core/door.rs
+++ b/dispatcher/src/memory/core/door.rs
@@ -70,7 +70,7 @@
             let fleet = &mut self.fleets[f];
             let Some(host) = fleet.hosts.get_mut(&worker).filter(|h| !h.line.is_empty()) else { return };
             let need = need(&fleet.set, host.line[0].class);
-            let Some((since, link)) = host.pool.take(fleet.trust.since(now, need), need) else { return };
+            let Some((since, link)) = host.pool.take(now, fleet.trust.since(now, need), need) else { return };
             let Some(request) = host.line.pop_front() else { return };
             let id = request.id;
             let started = link.start(request.clone());
@@ -165,7 +165,8 @@
         let (ask, class) = (Ask::Run(stream.payload.clone()), Some(stream.class.0 as usize));
         up.waits = true;
         self.due.push(Reverse((clock::now() + WAIT, Due::Line(id))));
-        host.line.push_front(UpstreamRequest { id, ask, connect_by: 0, deadline: stream.deadline, class });
+        let (begin_by, deadline) = (stream.begin_by, stream.deadline);
+        host.line.push_front(UpstreamRequest { id, ask, connect_by: 0, begin_by, deadline, class });
         self.lines.insert((f, worker));
     }
 }
@@ -180,155 +181,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use roselock::{CellId, KindId, ZoneId};
-    use rstest::{fixture, rstest};
-    use std::sync::Mutex;
-
-    /// A connection that takes all and does nothing; a dialler that writes down whom it dials for.
-    struct Line_;
-    impl Link for Line_ {
-        fn start(&self, _: UpstreamRequest) -> bool {
-            true
-        }
-        fn abort(&self, _: UpstreamId) {}
-    }
-    struct Dials(Arc<Mutex<Vec<UpstreamRequest>>>);
-    impl Dialer for Dials {
-        fn dial(&self, _: SocketAddr, request: UpstreamRequest) -> Arc<dyn Link> {
-            self.0.lock().expect("not poisoned").push(request);
-            Arc::new(Line_)
-        }
-        fn room(&self, _: &Ask) -> bool {
-            true
-        }
-        fn watch(&self) {}
-    }
-    struct Nobody;
-    impl Downstream for Nobody {
-        fn answer(&self, _: Answer, _: u32) {}
-    }
-
-    struct World {
-        core: Core,
-        inbox: Inbox,
-        dialled: Arc<Mutex<Vec<UpstreamRequest>>>,
-        now: Micros,
-    }
-
-    impl World {
-        fn list(&mut self, state: Listed) {
-            let (zone, cell, kind) = (ZoneId(0), CellId(0), KindId(0));
-            let entry =
-                FleetEntry { worker: WorkerId(1), state, zone, cell, kind, units: 1.0, up_since: None };
-            let endpoint = Some(([127, 0, 0, 1], 9).into());
-            let host = ListedHost { uid: "s-1".into(), endpoint, entry, link: None };
-            self.core.list(0, ListMode::Changes, vec![host]);
-        }
-        /// A stream comes in, and the decisions have their steps.
-        fn ask(&mut self) -> StreamId {
-            let id = self.inbox.stream_id();
-            let payload = Payload { given: Some(format!("c{id}")), ..Payload::default() };
-            self.core.handle(Input::Arrived(Box::new(NewStream {
-                id,
-                fleet: 0,
-                class: ClassId(0),
-                tenant: None,
-                key: None,
-                slots: 0.1,
-                memory: 0.0,
-                hint: None,
-                deadline: clock::now() + 60_000_000,
-                ran: 0,
-                peer: ([127, 0, 0, 1], 1).into(),
-                payload: Arc::new(payload),
-                downstream: Box::new(Nobody),
-            })));
-            self.steps();
-            id
-        }
-        fn steps(&mut self) {
-            for _ in 0..4 {
-                self.now += 5_000;
-                self.core.step(0, self.now);
-            }
-        }
-        fn dialled(&self) -> usize {
-            self.dialled.lock().expect("not poisoned").len()
-        }
-        /// The latest dial is closed at the door, before anything was written.
-        fn closed(&mut self) {
-            let id = self.dialled.lock().expect("not poisoned").last().expect("a dial").id;
-            self.core.handle(Input::Upstream(id, Heard::TurnedAway(false), LinkIs::Closed));
-        }
-        fn waiting(&self) -> usize {
-            self.core.fleets[0].hosts[&WorkerId(1)].line.len()
-        }
-    }
-
-    #[fixture]
-    fn world() -> World {
-        let options = r#"{"fleetSize":1,"lanes":[{"name":"look","promiseS":9,"giveUpS":60,"effect":"safe"}],
-            "tickS":0.005,"limits":{"sendCap":4,"connectTimeoutS":0.5,"connIdleS":15}}"#;
-        let options: roselock::settings::Options = serde_json::from_str(options).expect("options");
-        let (set, (inbox, outlet)) = (options.site().expect("settings").settings, Inbox::new());
-        let mut core = Core::new(inbox.clone(), outlet, None, Operation::new(vec!["look".into()]));
-        let dialled: Arc<Mutex<Vec<UpstreamRequest>>> = Arc::default();
-        core.add_fleet(set, 7, Some(Box::new(Dials(dialled.clone())))).expect("settings");
-        core.set_doors(0, Terms::default());
-        let mut world = World { core, inbox, dialled, now: clock::now() };
-        world.list(Listed::Ready);
-        world
-    }
-
-    /// Guards against dials that go on at a closed door, and against one that stays shut.
-    #[rstest]
-    fn who_was_turned_away_waits_for_the_door(mut world: World) {
-        world.ask();
-        assert_eq!((world.dialled(), world.waiting()), (1, 0));
-        world.closed();
-        world.core.serve_lines(clock::now());
-        assert_eq!((world.dialled(), world.waiting()), (1, 1));
-        let later = clock::now() + 3_000_000;
-        world.core.fleets[0].hosts.get_mut(&WorkerId(1)).expect("a host").door = Door::new(0);
-        world.core.serve_lines(later);
-        assert_eq!((world.dialled(), world.waiting()), (2, 0));
-    }
-
-    /// Guards against a line that outlives the word of a drain, and against a dial there.
-    #[rstest]
-    fn nobody_waits_at_a_host_that_drains(mut world: World) {
-        let stream = world.ask();
-        world.closed();
-        world.list(Listed::Draining);
-        assert_eq!((world.waiting(), world.core.streams[&stream].out), (0, None));
-        world.core.serve_lines(clock::now() + 3_000_000);
-        world.list(Listed::Ready);
-        world.steps();
-        assert_eq!(world.core.streams[&stream].ran, 0, "it never ran");
-        assert_eq!(world.core.streams[&stream].rounds, 2, "and was sent anew");
-    }
-
-    /// Guards against a connection that falls free while others wait for one, and a line without a bound.
-    #[rstest]
-    fn a_connection_that_falls_free_is_taken_by_who_waits(mut world: World) {
-        world.ask();
-        let first = world.dialled.lock().expect("not poisoned")[0].id;
-        world.core.fleets[0].hosts.get_mut(&WorkerId(1)).expect("a host").door.turned_away(clock::now(), 1.0);
-        for _ in 0..3 * LINE {
-            world.core.fleets[0].events.clear();
-            let request = UpstreamRequest {
-                id: world.core.next_upstream,
-                ask: Ask::Run(Arc::default()),
-                connect_by: 0,
-                deadline: clock::now() + 9_000_000,
-                class: Some(0),
-            };
-            world.core.join_line(Upstream::new(0, WorkerId(1)), request);
-        }
-        assert_eq!(world.waiting(), LINE);
-        world.core.handle(Input::Upstream(first, Heard::Taken, LinkIs::Free));
-        assert_eq!((world.waiting(), world.dialled()), (LINE - 1, 1));
-    }
-}
+#[path = "door_tests.rs"]
+mod tests;
--- /dev/null
+++ b/dispatcher/src/memory/core/door_tests.rs
@@ -0,0 +1,257 @@
+//! The doors of upstream hosts, and attempts of which nothing has left.
+
+use super::*;
+use roselock::{CellId, KindId, ZoneId};
+use rstest::{fixture, rstest};
+use std::sync::Mutex;
+
+/// A connection that takes all and does nothing, up or still coming up; a dialler that writes down whom it dials for.
+struct Line_ {
+    up: bool,
+}
+impl Link for Line_ {
+    fn start(&self, _: UpstreamRequest) -> bool {
+        true
+    }
+    fn abort(&self, _: UpstreamId) {}
+    fn hold_back(&self) -> bool {
+        !self.up
+    }
+}
+struct Dials(Arc<Mutex<Vec<UpstreamRequest>>>, bool);
+impl Dialer for Dials {
+    fn dial(&self, _: SocketAddr, request: UpstreamRequest) -> Arc<dyn Link> {
+        self.0.lock().expect("not poisoned").push(request);
+        Arc::new(Line_ { up: self.1 })
+    }
+    fn room(&self, _: &Ask) -> bool {
+        true
+    }
+    fn watch(&self) {}
+}
+struct Nobody;
+impl Downstream for Nobody {
+    fn answer(&self, _: Answer, _: u32) {}
+}
+
+struct World {
+    core: Core,
+    inbox: Inbox,
+    dialled: Arc<Mutex<Vec<UpstreamRequest>>>,
+    now: Micros,
+}
+
+impl World {
+    fn list(&mut self, state: Listed) {
+        let (zone, cell, kind) = (ZoneId(0), CellId(0), KindId(0));
+        let entry = FleetEntry { worker: WorkerId(1), state, zone, cell, kind, units: 1.0, up_since: None };
+        let endpoint = Some(([127, 0, 0, 1], 9).into());
+        let host = ListedHost { uid: "s-1".into(), endpoint, entry, link: None };
+        self.core.list(0, ListMode::Changes, vec![host]);
+    }
+    /// A stream comes in, and the decisions have their steps.
+    fn ask(&mut self) -> StreamId {
+        let id = self.inbox.stream_id();
+        let payload = Payload { given: Some(format!("c{id}")), ..Payload::default() };
+        self.core.handle(Input::Arrived(Box::new(NewStream {
+            id,
+            fleet: 0,
+            class: ClassId(0),
+            tenant: None,
+            key: None,
+            slots: 0.1,
+            memory: 0.0,
+            hint: None,
+            deadline: clock::now() + 60_000_000,
+            ran: 0,
+            peer: ([127, 0, 0, 1], 1).into(),
+            payload: Arc::new(payload),
+            downstream: Box::new(Nobody),
+        })));
+        self.steps();
+        id
+    }
+    fn steps(&mut self) {
+        for _ in 0..4 {
+            self.now += 5_000;
+            self.core.step(0, self.now);
+        }
+    }
+    fn dialled(&self) -> usize {
+        self.dialled.lock().expect("not poisoned").len()
+    }
+    /// The latest dial is closed at the door, before anything was written.
+    fn closed(&mut self) {
+        let id = self.dialled.lock().expect("not poisoned").last().expect("a dial").id;
+        self.core.handle(Input::Upstream(id, Heard::TurnedAway(false), LinkIs::Closed));
+    }
+    fn waiting(&self) -> usize {
+        self.core.fleets[0].hosts[&WorkerId(1)].line.len()
+    }
+}
+
+#[fixture]
+fn world() -> World {
+    world_of(r#""effect":"safe""#, true)
+}
+
+/// One with a class of this effect, whose connections are up at once, or never.
+fn world_of(effect: &str, up: bool) -> World {
+    let options = format!(
+        r#"{{"fleetSize":1,"lanes":[{{"name":"look","promiseS":9,"giveUpS":60,{effect}}}],"tickS":0.005,
+        "limits":{{"sendCap":4,"connectTimeoutS":0.5,"connIdleS":15,"cancel":true}}}}"#
+    );
+    let options: roselock::settings::Options = serde_json::from_str(&options).expect("options");
+    let (set, (inbox, outlet)) = (options.site().expect("settings").settings, Inbox::new());
+    let mut core = Core::new(inbox.clone(), outlet, None, Operation::new(vec!["look".into()]));
+    let dialled: Arc<Mutex<Vec<UpstreamRequest>>> = Arc::default();
+    core.add_fleet(set, 7, Some(Box::new(Dials(dialled.clone(), up)))).expect("settings");
+    core.set_doors(0, Terms::default());
+    let mut world = World { core, inbox, dialled, now: clock::now() };
+    world.list(Listed::Ready);
+    world
+}
+
+/// Guards against dials that go on at a closed door, and against one that stays shut.
+#[rstest]
+fn who_was_turned_away_waits_for_the_door(mut world: World) {
+    world.ask();
+    assert_eq!((world.dialled(), world.waiting()), (1, 0));
+    world.closed();
+    world.core.serve_lines(clock::now());
+    assert_eq!((world.dialled(), world.waiting()), (1, 1));
+    let later = clock::now() + 3_000_000;
+    world.core.fleets[0].hosts.get_mut(&WorkerId(1)).expect("a host").door = Door::new(0);
+    world.core.serve_lines(later);
+    assert_eq!((world.dialled(), world.waiting()), (2, 0));
+}
+
+/// Guards against a line that outlives the word of a drain, and against a dial there.
+#[rstest]
+fn nobody_waits_at_a_host_that_drains(mut world: World) {
+    let stream = world.ask();
+    world.closed();
+    world.list(Listed::Draining);
+    assert_eq!((world.waiting(), world.core.streams[&stream].out), (0, None));
+    world.core.serve_lines(clock::now() + 3_000_000);
+    world.list(Listed::Ready);
+    world.steps();
+    assert_eq!(world.core.streams[&stream].ran, 0, "it never ran");
+    assert_eq!(world.core.streams[&stream].rounds, 2, "and was sent anew");
+}
+
+/// Guards against a connection that falls free while others wait for one, and a line without a bound.
+#[rstest]
+fn a_connection_that_falls_free_is_taken_by_who_waits(mut world: World) {
+    world.ask();
+    let first = world.dialled.lock().expect("not poisoned")[0].id;
+    world.core.fleets[0].hosts.get_mut(&WorkerId(1)).expect("a host").door.turned_away(clock::now(), 1.0);
+    for _ in 0..3 * LINE {
+        world.core.fleets[0].events.clear();
+        let request = UpstreamRequest {
+            id: world.core.next_upstream,
+            ask: Ask::Run(Arc::default()),
+            connect_by: 0,
+            begin_by: Micros::MAX,
+            deadline: clock::now() + 9_000_000,
+            class: Some(0),
+        };
+        world.core.join_line(Upstream::new(0, WorkerId(1)), request);
+    }
+    assert_eq!(world.waiting(), LINE);
+    world.core.handle(Input::Upstream(first, Heard::Taken, LinkIs::Free));
+    assert_eq!((world.waiting(), world.dialled()), (LINE - 1, 1));
+}
+
+/// Guards against an attempt whose connection comes up late, after its host was said to drain: it ends with that word, has
+/// not run and goes elsewhere. One that has left is let be.
+#[rstest]
+#[case::coming_up(false, None, 0)]
+#[case::up(true, Some(0), 0)]
+fn what_has_not_left_ends_with_the_word_of_a_drain(
+    #[case] up: bool,
+    #[case] out: Option<UpstreamId>,
+    #[case] ran: u32,
+) {
+    let mut world = world_of(r#""effect":"unsafe""#, up);
+    world.core.fleets[0].doors = None;
+    let stream = world.ask();
+    assert_eq!(world.core.streams[&stream].out, Some(0));
+    world.list(Listed::Draining);
+    assert_eq!((world.core.streams[&stream].out, world.core.streams[&stream].ran), (out, ran));
+    if !up {
+        // What its connection says later is of no attempt.
+        world.core.handle(Input::Upstream(
+            0,
+            Heard::Ended(Outcome::ConnectFailed, Gauge::default(), Vec::new()),
+            LinkIs::Closed,
+        ));
+        world.list(Listed::Ready);
+        world.steps();
+        assert_eq!((world.core.streams[&stream].rounds, world.dialled()), (2, 2));
+    }
+}
+
+/// Guards against a host that runs on for nobody: its word that it has the job was on the way when the client left.
+#[rstest]
+fn who_had_taken_it_when_the_client_left_is_told() {
+    let mut world = world_of(r#""effect":"unsafe""#, true);
+    world.core.fleets[0].doors = None;
+    let stream = world.ask();
+    world.core.handle(Input::Left(stream));
+    world.steps();
+    assert!(world.core.streams.is_empty());
+    world.core.handle(Input::Upstream(0, Heard::Taken, LinkIs::Free));
+    let dialled = world.dialled.lock().expect("not poisoned");
+    assert!(matches!(dialled.last().map(|r| &r.ask), Some(Ask::Withdraw(_))), "nobody told the host");
+    assert!(world.core.abandoned.is_empty());
+}
+
+/// Guards against a repeat that leaves in time and begins when its hosts do not know it any more: a connection may be
+/// long in coming up. It may not begin after the window that counts from the first attempt that may have run.
+#[rstest]
+fn a_repeat_may_not_begin_after_its_window() {
+    let keyed = r#""effect":"keyed","keyScope":"all","windowS":5"#;
+    let mut world = world_of(keyed, true);
+    world.core.fleets[0].doors = None;
+    world.ask();
+    let reset =
+        |id| Input::Upstream(id, Heard::Ended(Outcome::Reset, Gauge::default(), Vec::new()), LinkIs::Closed);
+    let first = world.core.upstreams[&0].sent;
+    world.core.handle(reset(0));
+    // The host is in doubt for a while.
+    (0..100).for_each(|_| world.steps());
+    let dialled = world.dialled.lock().expect("not poisoned").clone();
+    let runs: Vec<_> = dialled.iter().filter(|r| matches!(r.ask, Ask::Run(_))).map(|r| r.begin_by).collect();
+    assert_eq!(runs, [Micros::MAX, first + 5_000_000 - 10_000]);
+}
+
+/// Guards against a stream that is taken as the process ends: what was posted is taken in first, and then nothing is.
+#[rstest]
+fn the_last_stream_is_taken_in_before_the_end(world: World) {
+    let new = |id: u32| {
+        Box::new(NewStream {
+            id,
+            fleet: 0,
+            class: ClassId(0),
+            tenant: None,
+            key: None,
+            slots: 1.0,
+            memory: 0.0,
+            hint: None,
+            deadline: clock::now() + 9_000_000,
+            ran: 0,
+            peer: ([127, 0, 0, 1], 1).into(),
+            payload: Arc::new(Payload { given: Some(format!("n{id}")), ..Payload::default() }),
+            downstream: Box::new(Nobody),
+        })
+    };
+    let World { mut core, inbox, .. } = world;
+    assert!(inbox.enter(new(1)));
+    assert!(!inbox.close(), "one is on its way");
+    let input = core.outlet.try_recv().expect("it was posted");
+    core.handle(input);
+    assert!(inbox.close());
+    assert!(!inbox.enter(new(2)));
+    assert!(core.outlet.try_recv().is_err());
+}
--- a/dispatcher/src/memory/core/hosts.rs
+++ b/dispatcher/src/memory/core/hosts.rs
@@ -54,6 +54,7 @@
         }
         fleet.events.push(Event::Fleet { mode, entries });
         self.clear_lines(|host| host.entry.state != Listed::Ready);
+        self.hold_back_at(f, |host| host.entry.state != Listed::Ready);
         let mut hosts = self.fleets.iter().flat_map(|f| f.hosts.values());
         self.inbox.set_able(hosts.any(|h| h.entry.state == Listed::Ready));
     }
--- a/dispatcher/src/memory/core/steps.rs
+++ b/dispatcher/src/memory/core/steps.rs
@@ -94,9 +94,10 @@
         let barred = stream.answered
             || stream.out.is_some()
             || deadline <= now
+            || stream.begin_by <= now
             || round.max(stream.ran) >= self.fleets[f].set.limits.send_cap;
         let payload = stream.payload.clone();
-        let up = Upstream { stream: job, round, ..Upstream::new(f, worker) };
+        let up = Upstream { stream: job, round, sent: now, ..Upstream::new(f, worker) };
         let id = self.next_upstream;
         let need = door::need(&self.fleets[f].set, Some(stream.class.0 as usize));
         if barred || !self.launch(up, Ask::Run(payload), deadline, Some(need)) {
--- a/dispatcher/src/memory/core/streams.rs
+++ b/dispatcher/src/memory/core/streams.rs
@@ -6,9 +6,9 @@
     pub(super) fn arrive(&mut self, mut new: NewStream) {
         let now = clock::now();
         if let Some(at) = self.inbox.stopping().filter(|at| now - at > TAKES_ON) {
-            new.deadline = new.deadline.min(at + OUT_BY);
+            new.deadline = new.deadline.min(at + self.inbox.out_by());
             if new.deadline <= now {
-                return self.refuse(new, Answer::Refused(OUT_BY - TAKES_ON));
+                return self.refuse(new, Answer::Refused(roselock::SECOND));
             }
         }
         // A feed may be ahead of the news of a fleet, which then waits in the queue: it was posted first.
@@ -50,7 +50,12 @@
             answered: false,
             rounds: 0,
             out: None,
-            handed_back: None,
+            called_back: None,
+            window: match self.fleets[new.fleet].set.classes[new.class.0 as usize].effect {
+                Effect::Keyed { window, .. } => Some(window),
+                _ => None,
+            },
+            begin_by: Micros::MAX,
             ran: new.ran,
             timed_out: false,
             host: None,
@@ -94,6 +99,7 @@
         self.operation.figures.ended(stream.class.0 as usize, operation::end(&answer), true);
         stream.downstream.answer(answer, ran);
         self.record(id, finish, sent);
+        self.hold_back(id);
         self.forget(id);
     }
 
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 
 /// A stream: one request of a client, until its final answer. The decisions know it by the same number.
@@ -188,6 +188,8 @@
     pub ask: Ask,
     /// When a new connection is given up.
     pub connect_by: Micros,
+    /// From when on it may not begin any more: its hosts do not know the request as a repeat.
+    pub begin_by: Micros,
     /// When it is given up.
     pub deadline: Micros,
     /// The class of the stream that it runs, if it runs one: it is counted once written whole.
@@ -204,6 +206,10 @@
     fn is_open(&self) -> bool {
         true
     }
+    /// Gives up what is on it, if nothing of it has left yet as the connection is not up; false if something may have.
+    fn hold_back(&self) -> bool {
+        false
+    }
     /// Whether it takes but one upstream request at a time, all its life (a worker that came to us).
     fn resident(&self) -> bool {
         false
@@ -337,11 +343,23 @@
     able: AtomicBool,
     /// When it was told to stop, if it was.
     stop: AtomicI64,
+    /// The longest deadline of any class.
+    longest: AtomicI64,
+    /// Streams posted and not yet taken in by the owner, and a bit that is set once none is taken any more.
+    entering: AtomicU64,
 }
 
-/// A process that is told to stop serves on for so long, on the connections it has: their clients may have nowhere
+/// Set in `entering` at the end.
+const CLOSED: u64 = 1 << 63;
+
+/// A process that is told to stop may be killed this long after that and its longest deadline, of which no more than
+/// `COUNTED` counts; what comes late has its answer this long before.
+const KILL: Micros = 700_000;
+const COUNTED: Micros = 3_000_000;
+const MARGIN: Micros = 200_000;
+/// For half of that time, and a little, it serves on as before on the connections it has: their clients may have nowhere
 /// else to go. After that each ends with its next answer.
-const LINGER: Micros = 1_800_000;
+const LINGER: (Micros, Micros) = (18, 35);
 
 /// Most inputs that wait for the owner.
 const QUEUE: usize = 4096;
@@ -372,9 +390,38 @@
     pub fn stopping(&self) -> Option<Micros> {
         Some(self.shared.stop.load(Ordering::SeqCst)).filter(|at| *at != 0)
     }
-    /// Whether that was so long ago that connections are not kept any more.
+    /// Notes the longest deadline of any class.
+    pub fn set_longest(&self, longest: Micros) {
+        self.shared.longest.store(longest, Ordering::SeqCst);
+    }
+    /// How long after the word to stop the last answer has to be out.
+    pub fn out_by(&self) -> Micros {
+        self.shared.longest.load(Ordering::SeqCst).min(COUNTED) + KILL - MARGIN
+    }
+    /// When the process has to have ended, once it was told to stop.
+    pub fn ends_by(&self) -> Micros {
+        self.stopping().map_or(Micros::MAX, |at| at + self.out_by() + MARGIN / 2)
+    }
+    /// Whether that word was so long ago that connections are not kept any more.
     pub fn parting(&self) -> bool {
-        self.stopping().is_some_and(|at| clock::now() - at >= LINGER)
+        self.stopping().is_some_and(|at| clock::now() - at >= self.out_by() * LINGER.0 / LINGER.1)
+    }
+    /// Posts a stream; false where none is taken any more, and nothing was done.
+    pub fn enter(&self, new: Box<NewStream>) -> bool {
+        let one_more = |entering: u64| (entering & CLOSED == 0).then_some(entering + 1);
+        if self.shared.entering.fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_more).is_err() {
+            return false;
+        }
+        self.post(Input::Arrived(new));
+        true
+    }
+    /// The owner has taken a posted stream in.
+    pub fn entered(&self) {
+        let _ = self.shared.entering.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1));
+    }
+    /// Takes no further stream; false while one that was posted has not been taken in.
+    pub fn close(&self) -> bool {
+        self.shared.entering.compare_exchange(0, CLOSED, Ordering::SeqCst, Ordering::SeqCst).is_ok()
     }
     /// A number for a new stream.
     pub fn stream_id(&self) -> StreamId {
--- a/dispatcher/src/memory/pool.rs
+++ b/dispatcher/src/memory/pool.rs
@@ -11,6 +11,9 @@
 const IDLE: Micros = 20_000;
 /// What is taken for proven before anything is.
 const FIRST: Micros = 1_000_000;
+/// A host may answer twice, some milliseconds apart. Its second answer would be taken for that to the next request, and a
+/// request that runs be sent again: after such an answer a connection rests before its next use.
+pub const SETTLE: Micros = 50_000;
 /// How long a broken connection keeps the trust in others down.
 const WARY: Micros = 10_000_000;
 
@@ -72,23 +75,27 @@
 /// The idle connections to one host, latest last.
 #[derive(Default)]
 pub struct Pool {
-    idle: VecDeque<(Micros, Arc<dyn Link>)>,
+    idle: VecDeque<Idle>,
 }
 
+/// An idle connection: since when, from when on it may be used again, and itself.
+type Idle = (Micros, Micros, Arc<dyn Link>);
+
 impl Pool {
-    /// Takes one that is still open and fell idle after `since`, with when it did: the latest, or for an errand the
-    /// oldest.
-    pub fn take(&mut self, since: Micros, need: Need) -> Option<(Micros, Arc<dyn Link>)> {
-        self.idle.retain(|i| i.1.is_open());
-        match need {
-            Need::Errand => self.idle.pop_front(),
-            _ if self.idle.back().is_some_and(|i| i.0 >= since) => self.idle.pop_back(),
-            _ => None,
-        }
+    /// Takes one that is still open, has rested and fell idle after `since`, with when it did: the latest, or for an
+    /// errand the oldest.
+    pub fn take(&mut self, now: Micros, since: Micros, need: Need) -> Option<(Micros, Arc<dyn Link>)> {
+        self.idle.retain(|i| i.2.is_open());
+        let rested = |i: &Idle| i.1 <= now;
+        let at = match need {
+            Need::Errand => self.idle.iter().position(rested),
+            _ => self.idle.iter().rposition(rested).filter(|at| self.idle[*at].0 >= since),
+        };
+        self.idle.remove(at?).map(|(since, _, link)| (since, link))
     }
-    /// Keeps a connection that fell idle; the oldest one goes where there are too many.
-    pub fn put(&mut self, link: Arc<dyn Link>, now: Micros) {
-        self.idle.push_back((now, link));
+    /// Keeps a connection that fell idle and rests for so long; the oldest one goes where there are too many.
+    pub fn put(&mut self, link: Arc<dyn Link>, now: Micros, rest: Micros) {
+        self.idle.push_back((now, now + rest, link));
         if self.idle.len() > MOST {
             self.idle.pop_front();
         }
@@ -116,29 +123,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rstest::rstest;
-
-    /// Guards against writing payments to connections that their hosts drop while idle: one that broke makes all
-    /// of its age suspect at once, and trust comes back only by what was risked without harm.
-    #[rstest]
-    fn trust_is_lost_at_once_and_comes_back_by_what_worked() {
-        let mut trust = Trust::new(10_000_000);
-        let span = |trust: &Trust, need, now| now - trust.since(now, need);
-        assert_eq!(span(&trust, Need::Repeatable, 0), 10_000_000);
-        assert_eq!(span(&trust, Need::Once, 0), 2 * FIRST + IDLE);
-        trust.worked(1_500_000, 0);
-        assert_eq!(span(&trust, Need::Once, 0), 3_000_000 + IDLE);
-        trust.broke(IDLE / 2, 0);
-        assert_eq!(span(&trust, Need::Repeatable, 0), 10_000_000);
-        trust.broke(400_000, 0);
-        assert_eq!(span(&trust, Need::Repeatable, 0), 300_000);
-        assert_eq!(span(&trust, Need::Once, 0), 300_000);
-        trust.worked(800_000, WARY);
-        assert_eq!(span(&trust, Need::Repeatable, WARY), 300_000);
-        trust.worked(800_000, WARY + 1);
-        assert_eq!(span(&trust, Need::Once, WARY + 1), 800_000);
-        assert_eq!(span(&trust, Need::Errand, WARY + 1), 10_000_000);
-    }
-}
+#[path = "pool_tests.rs"]
+mod tests;
--- /dev/null
+++ b/dispatcher/src/memory/pool_tests.rs
@@ -0,0 +1,51 @@
+//! Idle connections, and for how long such can be trusted.
+
+use super::*;
+use rstest::rstest;
+
+/// Guards against writing payments to connections that their hosts drop while idle: one that broke makes all
+/// of its age suspect at once, and trust comes back only by what was risked without harm.
+#[rstest]
+fn trust_is_lost_at_once_and_comes_back_by_what_worked() {
+    let mut trust = Trust::new(10_000_000);
+    let span = |trust: &Trust, need, now| now - trust.since(now, need);
+    assert_eq!(span(&trust, Need::Repeatable, 0), 10_000_000);
+    assert_eq!(span(&trust, Need::Once, 0), 2 * FIRST + IDLE);
+    trust.worked(1_500_000, 0);
+    assert_eq!(span(&trust, Need::Once, 0), 3_000_000 + IDLE);
+    trust.broke(IDLE / 2, 0);
+    assert_eq!(span(&trust, Need::Repeatable, 0), 10_000_000);
+    trust.broke(400_000, 0);
+    assert_eq!(span(&trust, Need::Repeatable, 0), 300_000);
+    assert_eq!(span(&trust, Need::Once, 0), 300_000);
+    trust.worked(800_000, WARY);
+    assert_eq!(span(&trust, Need::Repeatable, WARY), 300_000);
+    trust.worked(800_000, WARY + 1);
+    assert_eq!(span(&trust, Need::Once, WARY + 1), 800_000);
+    assert_eq!(span(&trust, Need::Errand, WARY + 1), 10_000_000);
+}
+
+struct Open;
+
+impl Link for Open {
+    fn start(&self, _: crate::memory::UpstreamRequest) -> bool {
+        true
+    }
+    fn abort(&self, _: crate::memory::UpstreamId) {}
+}
+
+/// Guards against a second answer that is taken for that to the next request: a connection rests after an answer that,
+/// taken twice, would end what runs. Others may be used meanwhile.
+#[rstest]
+#[case::repeatable(Need::Repeatable, &[300, 100])]
+#[case::once(Need::Once, &[300, 100])]
+#[case::errand(Need::Errand, &[100, 300])]
+fn a_connection_rests_after_an_answer_that_may_come_twice(#[case] need: Need, #[case] order: &[Micros]) {
+    let mut pool = Pool::default();
+    pool.put(Arc::new(Open), 100, 0);
+    pool.put(Arc::new(Open), 200, SETTLE);
+    pool.put(Arc::new(Open), 300, 0);
+    let mut take = |now| pool.take(now, 0, need).map(|(since, _)| since);
+    assert_eq!([take(400), take(400), take(400)], [Some(order[0]), Some(order[1]), None]);
+    assert_eq!([take(199 + SETTLE), take(200 + SETTLE)], [None, Some(200)]);
+}
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -17,9 +17,16 @@
 const IDLE: Micros = 120 * SECOND;
 /// How long an answer may take to go out.
 const TRANSFER: Micros = 10 * SECOND;
-/// How long a connection that said its last word waits for the client to close, and how much it reads meanwhile.
+/// How long a connection that said its last word waits for the client's next byte or its close, in all, and how many
+/// bytes it reads and drops meanwhile.
 const PARTING: Micros = SECOND / 2;
-const PARTING_READS: usize = 64;
+const PARTED: Micros = 2 * SECOND;
+const PARTING_BYTES: usize = 8 << 20;
+/// Bytes behind a held stream that are kept for its connection's next one. Clients send one request at a time: where
+/// there is more, the connection ends with the answer.
+const AHEAD: usize = 8 * 1024;
+/// While there are such bytes, the answer's end is looked for this often.
+const BEHIND: Micros = SECOND / 50;
 /// The longest patience that is believed.
 const PATIENCE: f64 = 3600.0;
 
@@ -119,10 +126,21 @@
 /// A connection's writer, started with its first stream.
 struct Writer {
     letters: Sender<Answer>,
-    written: Receiver<bool>,
+    written: Receiver<Written>,
     turn: Arc<Mutex<Turn>>,
 }
 
+/// What became of an answer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Written {
+    /// The connection stays for the next stream.
+    Kept,
+    /// It was the last word: what comes behind it is not taken.
+    Closed,
+    /// It could not be written.
+    Broken,
+}
+
 /// Whose turn it is on a connection: the dispatcher's while it holds a stream, then the client's, who may be long
 /// in coming back; from then on the connection may go. The reader only learns of it when more comes in.
 #[derive(Default)]
@@ -150,15 +168,21 @@
             let astray = answer == Answer::Conflict;
             let close = astray || lock(&turns).close || front.inbox.parting();
             let sent = write_answer(&socket, &answer, close);
-            front.inbox.wrote();
-            match sent {
-                Ok(()) if close => socket.finish(),
-                Ok(()) => {}
-                Err(_) => socket.close(),
+            let became = match sent {
+                Ok(()) if close => Written::Closed,
+                Ok(()) => Written::Kept,
+                Err(_) => Written::Broken,
+            };
+            match became {
+                Written::Kept => {}
+                Written::Closed => socket.finish(),
+                Written::Broken => socket.close(),
             }
             let rank = if close { Rank::Parting } else { Rank::Idle };
             *lock(&turns) = Turn { spare: Some(front.table.spare(rank, &socket)), ..Turn::default() };
-            if done.send(sent.is_ok()).is_err() {
+            // From here on the process may end: the connection is among those that are told so.
+            front.inbox.wrote();
+            if done.send(became).is_err() {
                 break;
             }
         }
@@ -185,30 +209,35 @@
     let socket = Socket::new(stream);
     let mut reader = Reader::new(socket.clone());
     let mut writer: Option<Writer> = None;
-    let mut pending: Option<Pending> = None;
+    // The stream whose answer is yet to be written, as far as this side knows.
+    let mut pending: Option<StreamId> = None;
+    // Something that came behind a stream was not kept.
+    let mut dropped = false;
     // Until it has sent a stream or a call-back, it is among the first to go where there are too many.
     let mut stranger = Some(front.table.spare(Rank::Stranger, &socket));
     // Until it has sent anything that makes sense, it has this long.
     let mut hello = Some(by(HELLO));
     loop {
-        // While a stream is held, this watches for the client's leaving.
+        // While a stream is held, this watches for the client's leaving, whatever has come behind the stream.
         let filled = match (reader.is_empty(), &pending, &stranger) {
-            (false, ..) => Ok(true),
             (true, Some(_), _) => reader.fill(by(IDLE)),
+            (false, Some(_), _) => read_ahead(&mut reader, writer.as_ref(), &mut dropped),
+            (false, None, _) => Ok(true),
             (true, None, Some(_)) => reader.fill(hello.unwrap_or_else(|| by(IDLE))),
             (true, None, None) => {
                 let spare = front.table.spare(Rank::Idle, &socket);
                 let filled = reader.fill(by(IDLE));
-                if spare.keep() { filled } else { Ok(false) }
+                if !spare.keep() {
+                    return part(front, &socket, &mut reader);
+                }
+                filled
             }
         };
-        if let Some(Pending { stream, close }) = pending {
+        if let Some(stream) = pending {
             let Some(writer) = &writer else { return };
-            let ok = match (filled, writer.written.try_recv().ok()) {
-                (_, Some(ok)) => ok,
-                // More has come before the answer: it waits its turn.
-                (Ok(true), None) => writer.written.recv().unwrap_or(false),
-                (Err(Bad::Late), None) => continue,
+            let became = match (filled, writer.written.try_recv().ok()) {
+                (_, Some(became)) => became,
+                (Ok(true) | Err(Bad::Late), None) => continue,
                 _ => {
                     writer.turn().held = None;
                     front.inbox.post(Input::Left(stream));
@@ -216,13 +245,14 @@
                 }
             };
             let kept = writer.turn().spare.take().is_some_and(Spare::keep);
-            if !ok || !kept {
-                return;
+            match became {
+                Written::Broken => return,
+                Written::Kept if kept && !dropped => pending = None,
+                // What came behind the last word is not taken: nobody would hear of it.
+                _ => return part(front, &socket, &mut reader),
             }
-            pending = None;
-            if close {
-                part(front, &socket, &mut reader);
-                return;
+            if filled == Err(Bad::Late) {
+                continue;
             }
         }
         if filled != Ok(true) {
@@ -255,18 +285,15 @@
         let close = message.close;
         let came = clock::now();
         match route(front, (message, bulk), (came, peer), (&socket, &mut writer, &mut stranger)) {
-            Routed::Held(stream) => (pending, hello) = (Some(Pending { stream, close }), None),
-            Routed::Shed => return,
+            Routed::Held(stream) => (pending, hello) = (Some(stream), None),
+            Routed::Shed => return part(front, &socket, &mut reader),
             Routed::Reply(status, more, body) => {
                 // Whose first word made no sense need not stay.
                 let astray = hello.is_some() && (400..500).contains(&status);
                 let close = close || astray || front.inbox.parting();
-                if http::respond(&socket, status, more, body.as_bytes(), close, by(PARTING)).is_err() {
-                    return;
-                }
-                if close {
-                    part(front, &socket, &mut reader);
-                    return;
+                let sent = http::respond(&socket, status, more, body.as_bytes(), close, by(PARTING));
+                if close || sent.is_err() {
+                    return part(front, &socket, &mut reader);
                 }
                 hello = None;
                 stranger.take_if(|_| status == CALLED_BACK);
@@ -280,23 +307,26 @@
     if status == 503 { "Retry-After: 1\r\n" } else { "" }
 }
 
+/// Reads what comes behind a held stream, of which little is kept: enough to see the client leave.
+fn read_ahead(reader: &mut Reader, writer: Option<&Writer>, dropped: &mut bool) -> Result<bool, Bad> {
+    if reader.held().len() < AHEAD {
+        return reader.fill(by(BEHIND));
+    }
+    *dropped = true;
+    writer.into_iter().for_each(|w| w.turn().close = true);
+    reader.skip(by(BEHIND))
+}
+
 /// Lets the last answer arrive: closing with bytes unread would reset the connection under it.
 fn part(front: &Arc<Front>, socket: &Socket, reader: &mut Reader) {
     let _spare = front.table.spare(Rank::Parting, socket);
     socket.finish();
-    let by = by(PARTING);
-    let mut left = PARTING_READS;
-    while left > 0 && reader.skip(by) == Ok(true) {
-        left -= 1;
+    let (last, mut left) = (by(PARTED), PARTING_BYTES);
+    while left > 0 && reader.skip(by(PARTING).min(last)) == Ok(true) {
+        left = left.saturating_sub(reader.held().len());
     }
 }
 
-/// A stream whose answer is yet to be written, as far as the reader knows.
-struct Pending {
-    stream: StreamId,
-    close: bool,
-}
-
 enum Routed {
     Held(StreamId),
     Shed,
@@ -337,10 +367,15 @@
     }
     let writer = writer.get_or_insert_with(|| start_writer(front, socket));
     (writer.turn().held, writer.turn().close) = (Some(held), close);
-    let id = front.inbox.stream_id();
+    let (id, class) = (front.inbox.stream_id(), new.class);
     let downstream = Mailbox { inbox: front.inbox.clone(), letters: writer.letters.clone() };
     let new = NewStream { id, downstream: Box::new(downstream), ..new };
-    front.inbox.post(Input::Arrived(Box::new(new)));
+    if !front.inbox.enter(Box::new(new)) {
+        // The process ends, and this stream came a moment too late.
+        writer.turn().held = None;
+        front.figures.ended(class.0 as usize, End::Deferred, false);
+        return Routed::Reply(503, after(503), "");
+    }
     Routed::Held(id)
 }
 
@@ -394,19 +429,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::figure;
-    use rstest::rstest;
-
-    /// Guards against jobs that seem to need no memory: the socket's name for it is not the simulator's.
-    #[rstest]
-    #[case("slots=1,memory=0.264", Some(0.264))]
-    #[case("memory = 2 , slots=1", Some(2.0))]
-    #[case("mem=1,slots=1", None)]
-    #[case("memory=NaN", None)]
-    #[case("memory=-1", None)]
-    #[case("", None)]
-    fn the_further_figures_go_by_their_names(#[case] info: &str, #[case] memory: Option<f64>) {
-        assert_eq!(figure(info, "memory"), memory);
-    }
-}
+#[path = "front_tests.rs"]
+mod tests;
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -16,6 +16,12 @@
 const CHUNK_LINE: usize = 256;
 /// Bytes read at a time.
 const CHUNK: usize = 4096;
+/// Reads in a row that found bytes waiting before others have a turn: the runtime looks for what else has come only when
+/// nothing runs, so who sends without end would keep all others out.
+const IN_A_ROW: u32 = 32;
+const TURN: std::time::Duration = std::time::Duration::from_millis(1);
+/// Most interim responses (1xx) before the one that counts.
+const INTERIM: u32 = 16;
 
 /// Why a message did not come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,12 +113,14 @@
 pub struct Reader {
     socket: Socket,
     buffer: Vec<u8>,
+    /// Reads since it last waited.
+    in_a_row: u32,
 }
 
 impl Reader {
     /// A reader of a connection at its start.
     pub fn new(socket: Socket) -> Reader {
-        Reader { socket, buffer: Vec::new() }
+        Reader { socket, buffer: Vec::new(), in_a_row: 0 }
     }
     /// What is read and not yet parsed.
     pub fn held(&self) -> &[u8] {
@@ -136,9 +144,16 @@
     }
     /// Reads on; false at the end.
     pub fn fill(&mut self, deadline: Micros) -> Result<bool, Bad> {
+        if self.in_a_row >= IN_A_ROW {
+            self.in_a_row = 0;
+            may::coroutine::sleep(TURN);
+        }
         let old = self.buffer.len();
         self.buffer.resize(old + CHUNK, 0);
-        let read = self.socket.read(&mut self.buffer[old..], deadline);
+        let read = self.socket.read_or_wait(&mut self.buffer[old..], deadline).map(|(read, waited)| {
+            self.in_a_row = if waited { 0 } else { self.in_a_row + 1 };
+            read
+        });
         self.buffer.truncate(old + read.as_ref().copied().unwrap_or(0));
         match read {
             Ok(n) => Ok(n > 0),
@@ -180,10 +195,15 @@
 
     /// A whole response, past any interim ones.
     pub fn response(&mut self, deadline: Micros) -> Result<Message, Bad> {
+        let mut interim = 0;
         loop {
             let (mut message, at) = self.head(deadline, parse_response)?;
             if (100..200).contains(&message.status) {
                 self.buffer.drain(..at);
+                interim += 1;
+                if interim > INTERIM {
+                    return Err(Bad::Status(502));
+                }
                 continue;
             }
             if matches!(message.status, 204 | 304) {
--- a/dispatcher/src/wire/socket.rs
+++ b/dispatcher/src/wire/socket.rs
@@ -32,6 +32,11 @@
     }
     /// Reads what there is, waiting for the first byte. 0 is the end.
     pub fn read(&self, into: &mut [u8], deadline: Micros) -> io::Result<usize> {
+        self.read_or_wait(into, deadline).map(|(read, _)| read)
+    }
+    /// The same, and whether it waited.
+    pub fn read_or_wait(&self, into: &mut [u8], deadline: Micros) -> io::Result<(usize, bool)> {
+        let mut waited = false;
         loop {
             match self.0.inner().read(into) {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
@@ -40,13 +45,25 @@
                         return Err(ErrorKind::TimedOut.into());
                     }
                     self.0.set_read_timeout(Some(left))?;
+                    waited = true;
                     self.0.peek(&mut [0])?;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                done => return done,
+                done => return done.map(|read| (read, waited)),
             }
         }
     }
+    /// Reads and drops what is there, up to so many bytes, without waiting: a close over unread bytes would reset the
+    /// connection, and what was written last might be lost with it.
+    pub fn drain(&self, mut most: usize) {
+        let mut bytes = [0; 4096];
+        while let Ok(n) = self.0.inner().read(&mut bytes)
+            && n > 0
+            && most > 0
+        {
+            most = most.saturating_sub(n);
+        }
+    }
     /// Writes all parts, gathered, however few bytes a call takes.
     pub fn write(&self, parts: &[&[u8]], deadline: Micros) -> io::Result<()> {
         let mut slices: Vec<IoSlice> =
--- a/dispatcher/src/wire/table.rs
+++ b/dispatcher/src/wire/table.rs
@@ -18,6 +18,8 @@
 const OVER: usize = 8;
 /// Looks, a millisecond apart, for such as need not be missed before one goes that is between requests.
 const PATIENT: u32 = 4;
+/// Most bytes that are read and dropped before one goes.
+const DRAINED: usize = 64 << 10;
 
 /// Which connections go first where there are too many; of equals the oldest.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -62,9 +64,22 @@
     fn shed(&self, up_to: Rank) -> bool {
         let mut spares = self.spares();
         let least = spares.first_entry().filter(|e| e.key().0 <= up_to).map(|e| e.remove());
-        least.iter().for_each(Socket::close);
+        drop(spares);
+        least.iter().for_each(|socket| {
+            socket.finish();
+            socket.drain(DRAINED);
+            socket.close();
+        });
         least.is_some()
     }
+    /// Says on all connections that may go that nothing more will be written. What comes on them is not taken any more.
+    pub fn finish(&self) {
+        std::mem::take(&mut *self.spares()).values().for_each(Socket::finish);
+    }
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
 
     /// Accepts connections, each served by a coroutine of its own, for as long as `go_on` says so after each one.
     pub fn accept<G, S>(self: &Arc<Table>, listener: &TcpListener, go_on: G, serve: S)
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -77,6 +77,14 @@
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         matches!(&*state, State::Open(socket) if socket.is_quiet())
     }
+    fn hold_back(&self) -> bool {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let opening = matches!(*state, State::Opening);
+        if opening {
+            *state = State::Aborted;
+        }
+        opening
+    }
     fn abort(&self, _: UpstreamId) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if let State::Open(socket) = std::mem::replace(&mut *state, State::Aborted) {
@@ -129,8 +137,9 @@
             }
         }
         let opened = self.reader.is_none().then(clock::now);
+        let late = || clock::now() >= request.begin_by;
         if opened.is_some() && !self.open(request) {
-            return (unsent(Outcome::ConnectFailed), LinkIs::Closed);
+            return (unsent(if late() { Outcome::Moot } else { Outcome::ConnectFailed }), LinkIs::Closed);
         }
         let at_the_door = |now| opened.is_some_and(|at| now - at <= AT_THE_DOOR);
         let Some((socket, reader)) = &mut self.reader else { return (Heard::Nothing, LinkIs::Closed) };
@@ -143,6 +152,9 @@
         if opened.is_some() && !socket.is_quiet() {
             return (Heard::TurnedAway(false), LinkIs::Closed);
         }
+        if late() {
+            return (unsent(Outcome::Moot), LinkIs::Closed);
+        }
         if write(socket, self.endpoint, request).is_err() {
             let heard = if at_the_door(clock::now()) {
                 Heard::TurnedAway(false)
@@ -172,7 +184,8 @@
         if matches!(*self.state.lock().unwrap_or_else(PoisonError::into_inner), State::Aborted) {
             return false;
         }
-        let Ok(socket) = Socket::connect(self.endpoint, request.connect_by.min(request.deadline)) else {
+        let by = request.connect_by.min(request.begin_by).min(request.deadline);
+        let Ok(socket) = Socket::connect(self.endpoint, by) else {
             return false;
         };
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -242,55 +255,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::memory::Payload;
-    use rstest::rstest;
-    use std::io::{Read, Write};
-    use std::time::Duration;
-
-    /// Guards against sending what was given up: the connection had been closed by its host while idle, the
-    /// attempt on it was ended before it was written, and opening a new connection forgot that.
-    #[rstest]
-    fn what_was_given_up_is_not_sent_on_a_new_connection() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let endpoint = listener.local_addr().expect("an address");
-        let options: roselock::settings::Options =
-            serde_json::from_str(r#"{"lanes":[{"name":"pay","effect":"unsafe"}]}"#).expect("options");
-        let (inbox, outlet) = Inbox::new();
-        let dialer = HttpDialer {
-            inbox,
-            site: Arc::new(options.site().expect("settings")),
-            open: Arc::default(),
-            most: 9,
-            watch: channel().0,
-            figures: Arc::new(Figures::new(vec!["pay".into()])),
-        };
-        let by = clock::now() + 20_000_000;
-        let request = |id| {
-            let ask = Ask::Run(Arc::new(Payload {
-                raw: Arc::new(b"cPOST/".to_vec()),
-                id: 0..1,
-                method: 1..5,
-                target: 5..6,
-                ..Payload::default()
-            }));
-            UpstreamRequest { id, ask, connect_by: by, deadline: by, class: None }
-        };
-        let heard = || match outlet.recv_timeout(Duration::from_secs(20)) {
-            Ok(Input::Upstream(id, heard, link)) => (id, heard, link),
-            _ => panic!("no word of an upstream request"),
-        };
-        let link = dialer.dial(endpoint, request(1));
-        let (mut host, _) = listener.accept().expect("a connection");
-        assert!(host.read(&mut [0; 1024]).expect("a request") > 0);
-        host.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").expect("written");
-        assert!(matches!(heard(), (1, Heard::Taken, LinkIs::Free)));
-        drop(host);
-        link.abort(2);
-        assert!(link.start(request(2)));
-        assert!(matches!(heard(), (2, Heard::Ended(Outcome::ConnectFailed, ..), LinkIs::Closed)));
-        listener.set_nonblocking(true).expect("non-blocking");
-        assert!(listener.accept().is_err(), "it went out on a new connection");
-    }
-}
+#[path = "upstream_tests.rs"]
+mod tests;
--- a/dispatcher/tests/common/mod.rs
+++ b/dispatcher/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
@@ -205,7 +206,9 @@
     /// One as the story says.
     pub fn launch(start: Start) -> Dispatcher {
         let dir = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let unique = bind().local_addr().expect("an address").port();
+        // A port that was free a moment ago may be another story's by now: their files would be one.
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let unique = STARTED.fetch_add(1, Ordering::Relaxed);
         let file = |name: &str, text: &str| {
             let path = dir.join(format!("{}-{unique}-{name}", std::process::id()));
             std::fs::write(&path, text).expect("a file");
--- a/dispatcher/tests/gearman_queue.rs
+++ b/dispatcher/tests/gearman_queue.rs
@@ -375,7 +375,8 @@
 
 fn checked(operator: &str) -> (bool, String) {
     let dir = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let unique = bind().local_addr().expect("an address").port();
+    static STARTED: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+    let unique = STARTED.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let (config, file) =
         (dir.join(format!("{unique}-check.json")), dir.join(format!("{unique}-operator.toml")));
     let text =
--- a/src/api.rs
+++ b/src/api.rs
@@ -69,7 +69,7 @@
 }
 
 /// What a repeat of a request does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// Nothing: repeat at will.
     Safe,
@@ -81,6 +81,7 @@
         window: Micros,
     },
     /// It would take effect twice.
+    #[default]
     Unsafe,
 }
 
--- a/src/inner_tests.rs
+++ b/src/inner_tests.rs
@@ -574,3 +574,51 @@
         assert!(at[99] - at[0] <= within * SECOND, "the last one called within what binds it");
     }
 }
+
+/// Guards against a job that new settings reach half way: it was sent as one that must not run twice, and is not sent
+/// again though its class may be repeated from now on.
+#[test]
+fn a_job_keeps_the_effect_that_it_came_with() {
+    let mut d = dispatcher(2);
+    let mut set = settings();
+    set.classes[0].effect = Effect::Unsafe;
+    d.retell(&set).expect("sound settings");
+    let job = |id| {
+        let (class, key) = (ClassId(0), None);
+        let job = JobIn {
+            job: JobId(id),
+            class,
+            tenant: None,
+            slots: 1.0,
+            memory: 0.0,
+            work_hint: None,
+            key,
+            budget: 9 * SECOND,
+        };
+        Event::Job(job)
+    };
+    let sends = |out: &[Action]| out.iter().filter(|a| matches!(a, Action::Send { .. })).count();
+    let (mut at, mut out) = (SECOND, vec![]);
+    d.step(at, &[job(1)], &mut out);
+    assert_eq!(sends(&out), 1);
+    d.retell(&settings()).expect("sound settings");
+    let reset = |id| {
+        let (outcome, gauge) = (Outcome::Reset, Gauge::default());
+        Event::Verdict { job: JobId(id), round: 0, outcome, last: false, gauge }
+    };
+    let mut after = |events: &[Event], out: &mut Vec<Action>| {
+        out.clear();
+        d.step(at, events, out);
+        (0..50).for_each(|_| {
+            at += SECOND / 50;
+            d.step(at, &[], out);
+        });
+    };
+    after(&[reset(1)], &mut out);
+    assert_eq!(sends(&out), 0, "it went out again");
+    assert!(out.iter().any(|a| matches!(a, Action::Fail { job: JobId(1) })));
+    // One that comes now goes by the new settings.
+    after(&[job(2)], &mut out);
+    after(&[reset(2)], &mut out);
+    assert_eq!(sends(&out), 1);
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -240,7 +240,9 @@
         let key = new.key.filter(|_| self.set.costs.origin > 0.0);
         let (homes, value) = (self.homes(key), share * worth / self.worth.mean.max(f64::MIN_POSITIVE));
         let first = self.now - before;
-        self.jobs.insert(new.job, Job { work, key, homes, value, first, ..Job::new(new, hint, self.now) });
+        let effect = self.set.classes[c].effect;
+        self.jobs
+            .insert(new.job, Job { effect, work, key, homes, value, first, ..Job::new(new, hint, self.now) });
         self.waiting.push(new.job);
     }
 
@@ -273,14 +275,14 @@
             || job.tries.len() >= limits.send_cap as usize
             || (!job.tries.is_empty() && !self.within_allowance())
             || class.kind.is_some_and(|k| k != worker.listed.kind)
-            || (self.careful && class.effect == Effect::Unsafe && worker.doubt.is_some())
+            || (self.careful && job.effect == Effect::Unsafe && worker.doubt.is_some())
             || (job.any_out() && (!limits.second_copies || job.tries.iter().any(|t| t.out && t.worker == w)))
         {
             return false;
         }
         // Rule 2: what may have run already binds what may follow.
         let mut may_have_run = job.tries.iter().filter(|t| !t.never_ran);
-        let repeat_ok = match (class.effect, may_have_run.clone().next()) {
+        let repeat_ok = match (job.effect, may_have_run.clone().next()) {
             (_, None) | (Effect::Safe, _) => true,
             (Effect::Unsafe, _) => false,
             (Effect::Keyed { scope, window }, Some(first)) => {
@@ -395,8 +397,7 @@
     /// Rules 1 and 2: the only way to a final answer of our own, once for a job; refused only if harmless.
     fn answer(&mut self, id: JobId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.ended && !j.streaming) else { return };
-        let effect = self.set.classes[job.class].effect;
-        let harmless = matches!(effect, Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. })
+        let harmless = matches!(job.effect, Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. })
             || job.tries.iter().all(|t| t.never_ran);
         // Come back when the present jobs have run, or after as long as this one was held.
         let most = self.set.limits.max_retry_after * self.set.limits.retry_after as Micros;
@@ -423,7 +424,7 @@
     fn wait_again(&mut self, id: JobId, out: &mut Vec<Action>) {
         let idle = |j: &&mut Job| !j.ended && !j.waiting && !j.streaming;
         let Some(job) = self.jobs.get_mut(&id).filter(idle) else { return };
-        let repeatable = job.repeatable(self.set.classes[job.class].effect, self.now);
+        let repeatable = job.repeatable(self.now);
         let (limits, any_out) = (&self.set.limits, job.any_out());
         if repeatable && job.tries.len() < limits.send_cap as usize && (!any_out || limits.second_copies) {
             job.waiting = true;
@@ -686,9 +687,9 @@
 
     /// Whether an attempt that has not started may be called off: where others fill workers, unseen by us.
     fn moves(&self, job: &Job) -> bool {
-        let (limits, class) = (&self.set.limits, &self.set.classes[job.class]);
+        let limits = &self.set.limits;
         let may = limits.cancel && !limits.second_copies && self.set.tells_start && self.set.fleet_size > 1;
-        may && class.effect == Effect::Safe && job.tries.len() < limits.send_cap as usize
+        may && job.effect == Effect::Safe && job.tries.len() < limits.send_cap as usize
     }
 
     /// Reports are old, and all act on them: what may be repeated does not stand long at a full worker.
@@ -1040,7 +1041,7 @@
             let held = t.map_or(j.waiting && best.is_finite(), stands);
             let stretch = t.map_or(best, |t| self.pace(&self.workers[t.worker]).exp() * SECOND as f64);
             let (in_time, in_life) = if held { self.chances(j, stretch, 0.0) } else { (1.0, 1.0) };
-            let bound = held && t.is_none() && !j.repeatable(class.effect, self.now);
+            let bound = held && t.is_none() && !j.repeatable(self.now);
             in_time.max(class.late_value * in_life) < least || bound
         };
         let lost: Vec<JobId> = self.jobs.iter().filter(|j| lost(j.1)).map(|j| *j.0).collect();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -147,10 +147,12 @@
 }
 
 impl Site {
-    /// Whether the numbers of classes, tenants, zones and kinds mean the same as in another site.
+    /// Whether the numbers of classes, tenants, zones and kinds, and the figures of reports, mean the same as in another
+    /// site.
     pub fn names_as(&self, other: &Site) -> bool {
         let names = |s: &Site| [&s.classes, &s.tenants, &s.zones, &s.kinds].map(|n| n.0.clone());
-        names(self) == names(other)
+        let reports = |s: &Site| [s.slots_in, s.memory_in];
+        names(self) == names(other) && reports(self) == reports(other)
     }
     /// The figures of a report that the decisions use, by what the settings say they mean.
     pub fn gauge(&self, g: &self::Gauge) -> crate::Gauge {
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,6 +39,8 @@
 #[derive(Default)]
 pub(crate) struct Job {
     pub(crate) class: usize,
+    /// What its class said of repeats when it came: new settings are for those that come after them.
+    pub(crate) effect: Effect,
     pub(crate) lane: Lane,
     pub(crate) need: [f64; 2],
     /// Expected work in seconds at speed 1, and whether a hint says so.
@@ -73,9 +75,9 @@
         }
     }
     /// Whether an earlier attempt leaves its class the right to one more.
-    pub(crate) fn repeatable(&self, effect: Effect, now: Micros) -> bool {
+    pub(crate) fn repeatable(&self, now: Micros) -> bool {
         let first = self.tries.iter().find(|t| !t.never_ran);
-        match effect {
+        match self.effect {
             Effect::Safe => true,
             Effect::Unsafe => first.is_none(),
             Effect::Keyed { window, .. } => first.is_none_or(|t| now - t.sent < window),
