--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -128,6 +128,10 @@
     /// Its memory in MB and its descriptors, as the system counts them.
     pub fn takes(&self) -> Option<(usize, usize)> {
         let proc = PathBuf::from(format!("/proc/{}", self.child.id()));
+        // A child that has not become its program yet shows what its parent takes.
+        if std::fs::read_link(proc.join("exe")).ok()? == std::env::current_exe().ok()? {
+            return None;
+        }
         let status = std::fs::read_to_string(proc.join("status")).ok()?;
         let rss = status
             .lines()
