Story of a withdrawal: the word of the drain has arrived before anybody asks

It sent the list and asked at once; where the list came later, the first request was dialled to the host that was about to drain. That host then had a request that is no DELETE (before), or a connection that was held back and ended without a byte (now). Ruled out: that the withdrawal itself was lost; its own connection was never reached.

Change: the story waits for the watch that asks on after that list, as another story does. Nothing else is eased.

--- a/dispatcher/tests/platform.rs
+++ b/dispatcher/tests/platform.rs
@@ -437,6 +437,12 @@
     assert_eq!(dispatcher.call_back("c0", "s-0", r#""state":"started""#), 204);
     let lines: Vec<String> = others.iter().map(|h| h.line("ready")).chain([host.line("draining")]).collect();
     discovery.lines.send(Some(list(8, false, &lines))).expect("a watch");
+    discovery.lines.send(None).expect("a watch");
+    // The second watch asks on after it: the word has arrived before anybody asks.
+    for rev in [7, 8] {
+        let after = format!("GET /registry/instances?watch=1&after={rev} HTTP/1.1");
+        assert_eq!(discovery.asked.recv_timeout(PATIENCE), Ok(after));
+    }
     let (arrived, arrivals) = std::sync::mpsc::channel();
     for other in others {
         let arrived = arrived.clone();
