Hold the list of workers under a lease; calls in time to be told; moves ask for changes

The service answered some 25 dispatchers a second and refused 44 to 89 calls a second; whole lists that took over 1 s were given up and asked for again. Ruled out: sends after a dispatcher's own word (none in any log); too slow a service (116 calls of one second were answered within 44 ms where each asked for changes only).

`Pace::ended` takes the reason and the moment up to which the list was in step; three calls that waited in vain are followed by one in time, those after them spread as before. A moved watch asks for what changed and, `[start] resync_after_s` later, for the whole list. A whole list has 3 s and 1 MiB, as on a watch (was 1 s and 64 KiB: beyond 550 workers no move was followed). The simulator's instances have no lease.

--- a/adapter/src/instance.rs
+++ b/adapter/src/instance.rs
@@ -29,15 +29,19 @@
         })
     }
 
-    /// Queues an event for the next step.
-    pub fn take(&mut self, event: &wire::Event) -> Result<(), String> {
+    /// Queues an event for the next step, which is at `now`.
+    pub fn take(&mut self, now: Micros, event: &wire::Event) -> Result<(), String> {
         let event = match event {
             wire::Event::Attach { .. } | wire::Event::Down | wire::Event::Datagram => return Ok(()),
+            wire::Event::Fleet { mode, .. } if mode.0 == "X" => {
+                let end = WatchEnd { reason: EndReason::Refused, as_of: now };
+                Event::WatchEnded(end)
+            }
             wire::Event::Fleet { mode, hosts } => {
                 let mode = match &*mode.0 {
                     "D" => ListMode::Changes,
-                    "F" | "C" => ListMode::Complete,
-                    "X" => ListMode::Broken,
+                    "F" => ListMode::Complete,
+                    "C" => ListMode::Known,
                     other => return Err(format!("fleet: unknown mode {other:?}")),
                 };
                 let entries = hosts.iter().map(|h| self.entry(h)).collect::<Result<_, _>>()?;
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -30,7 +30,7 @@
                 // Without an attach there is no instance to tell.
                 event => {
                     if let Some(instance) = instances.get_mut(&group.id) {
-                        instance.take(event).map_err(at)?;
+                        instance.take(now, event).map_err(at)?;
                     }
                 }
             }
--- a/crates/startup/src/pace.rs
+++ b/crates/startup/src/pace.rs
@@ -22,23 +22,47 @@
 const PAUSE: Micros = SECOND / 4;
 /// A failure within this span says nothing of how long calls wait.
 const AT_ONCE: Micros = SECOND / 4;
-/// Where in a round a call comes after two in a row that waited in vain.
+/// Where in a round a call comes after more than [`PROMPT_RETRIES`] in a row that waited in vain.
 const AGAIN: std::ops::Range<f64> = 0.5..1.2;
 /// An empty line comes on a watch every 2 s: one that says nothing for so long is broken.
 pub const SILENCE: Micros = SECOND * 5 / 2;
 /// What the list service has known for so long counts as told, heard or not.
-const TOLD: Micros = 6 * SECOND;
+pub const TOLD: Micros = 6 * SECOND;
 /// How long a call takes to be answered, with its connection, in a service that does its work.
-const ANSWER: Micros = SECOND;
-/// The longest waits that leave time to be told: before the first call, and before one to a service that refused the
-/// last one at once or could not be reached, from the moment it is back; after a watch that fell silent; and after a
-/// connection that never came up, for which a call waits as long as for an answer.
+pub(crate) const ANSWER: Micros = SECOND;
+/// The longest time from the moment up to which the list was in step to the next call that leaves time for its answer.
 const FIRST: Micros = TOLD - 3 * ANSWER / 2;
-const AFTER_SILENCE: Micros = TOLD - SILENCE - 3 * ANSWER / 2;
-const AFTER_NOTHING: Micros = FIRST - ANSWER;
+/// The longest wait after a watch broke, from then on.
+const AFTER_BREAK: Micros = TOLD - SILENCE - 3 * ANSWER / 2;
+/// So many calls in a row that waited in vain are followed by a call in time to be told: a service that is down keeps
+/// some callers waiting, too. Those after them are the sign of a service with too many callers.
+const PROMPT_RETRIES: u32 = 3;
+/// Where in the time that is left such a call comes.
+const PROMPT: std::ops::Range<f64> = 0.5..1.0;
 /// So many times as long as otherwise a dispatcher may go without asking after a call that failed.
 pub const AFTER_FAILURE: Micros = 4;
 
+/// Why a watch, or the call for one, ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndReason {
+    /// The service ended it: by an answer that is no list, a reset, or the end of the stream.
+    Refused,
+    /// No connection came up.
+    Unreachable,
+    /// Nothing came in time on an open connection.
+    Silent,
+}
+
+/// The end of a watch, or of the call for one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchEnd {
+    /// Why.
+    pub reason: EndReason,
+    /// The latest moment at which the list was in step with the service, or the service was seen not to answer: no
+    /// change before it is missed that counts as told because of it.
+    pub as_of: Micros,
+}
+
 /// What an installation is, for the pace.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Round {
@@ -71,8 +95,8 @@
     since: Option<Micros>,
     /// How many calls of the round came before it, were all to call.
     ahead: f64,
-    /// The last call waited in vain.
-    waited: bool,
+    /// How many calls in a row waited in vain.
+    waited: u32,
     /// When the next call is due, if one is, and whether any was made.
     due: Option<Micros>,
     called: bool,
@@ -87,7 +111,7 @@
             call: guess.clamp(LEAST, MOST),
             since: None,
             ahead: 0.0,
-            waited: false,
+            waited: 0,
             due: Some(0),
             called: false,
             pause: PAUSE,
@@ -121,7 +145,7 @@
 
     /// The service has told something: the call that is under way is answered, if there is one; whether there was.
     pub fn answered(&mut self, now: Micros) -> bool {
-        (self.pause, self.waited) = (PAUSE, false);
+        (self.pause, self.waited) = (PAUSE, 0);
         // The list that one starts with is no word of the service.
         self.due.take_if(|_| self.called);
         let Some(since) = self.since.take() else { return false };
@@ -135,51 +159,55 @@
         true
     }
 
-    /// The call failed, or the watch broke: how long to wait before the next one. `draw` is drawn anew, even in 0..1;
-    /// `reached` says whether there was a connection to call on.
+    /// The call failed, or the watch broke: how long to wait before the next one. `draw` is drawn anew, even in 0..1.
     ///
-    /// What changes while the service can be reached counts as told soon. So only a call that waited in its queue in
-    /// vain, the sign of a service with too many callers, is followed by a longer wait.
-    pub fn broken(&mut self, now: Micros, round: Round, draw: f64, reached: bool) -> Micros {
-        let (pause, failed) = (self.pause, self.since.take());
-        let (mut times, mut most) = (1, AFTER_SILENCE);
-        let place = match failed {
+    /// What changes while the service can be reached counts as told after [`TOLD`]. So only calls that waited in its
+    /// queue in vain again and again, the sign of a service with too many callers, are followed by a longer wait.
+    pub fn ended(&mut self, now: Micros, round: Round, draw: f64, end: WatchEnd) -> Micros {
+        let in_time = (end.as_of + FIRST - now).max(PAUSE);
+        let pause = self.pause;
+        let (place, times, most) = match self.since.take() {
             Some(since) => {
                 let waited = (now - since).max(0);
-                // A call that waited took its place in a queue. One that failed at once cost next to nothing: the
-                // service is down or turns callers away, and is asked no less often for it once it is back.
-                let queued = reached && waited >= AT_ONCE;
-                most = match (queued, reached) {
-                    (true, _) => Micros::MAX,
-                    (false, true) => FIRST,
-                    (false, false) => AFTER_NOTHING,
-                };
-                if queued {
-                    self.call = (2 * self.call).clamp(LEAST, MOST);
-                }
                 self.pause = (pause * 2).min((round.within / 8).max(PAUSE));
-                // Those that failed together come again at other places, beside others. Whose second call in a row
-                // waited in vain leaves most of a round out: drawn from all of it, the next one would come after half
-                // a round on average, and the service be called twice as often as the round says.
-                // The first time in a round half as long as what binds: most services cost nothing for a call that they
-                // turned away, and a dispatcher without a list serves nobody.
-                times = AFTER_FAILURE / 2;
-                if std::mem::replace(&mut self.waited, queued) && self.waited {
-                    times = AFTER_FAILURE;
-                    AGAIN.start + draw * (AGAIN.end - AGAIN.start)
-                } else {
-                    draw
-                }
+                self.failed(end.reason, waited, draw, in_time)
             }
             // What broke under all of us at once is met like a start, where nobody stands beside another.
-            None => round.place(),
+            None => (round.place(), 1, in_time.min(AFTER_BREAK)),
         };
+        let pause = pause.min(most / 2);
         // At least the pause is spread over, where one is alone or calls take no time.
         let spread = ((pause as f64 * place) as Micros).max(self.at(round, place, times, most - pause));
         self.due = Some(now + pause + spread);
         pause + spread
     }
 
+    /// Where in how many rounds the call after a failed one comes, and the longest wait before it.
+    fn failed(
+        &mut self,
+        reason: EndReason,
+        waited: Micros,
+        draw: f64,
+        in_time: Micros,
+    ) -> (f64, Micros, Micros) {
+        // A call that waited took its place in a queue. One that failed at once cost next to nothing: the service is
+        // down or turns callers away, and is asked no less often for it once it is back.
+        let queued = reason != EndReason::Unreachable && waited >= AT_ONCE;
+        self.waited = if queued { self.waited + 1 } else { 0 };
+        if queued {
+            self.call = (2 * self.call).clamp(LEAST, MOST);
+        }
+        if self.waited <= PROMPT_RETRIES {
+            // Those that failed together come again at other places, beside others; who waited leaves half of the time
+            // out, so that few retries last through an outage.
+            let place = if queued { PROMPT.start + draw * (PROMPT.end - PROMPT.start) } else { draw };
+            return (place, AFTER_FAILURE / 2, in_time);
+        }
+        // Most of a round is left out: drawn from all of it, the next call would come after half a round on average,
+        // and the service be called twice as often as the round says.
+        (AGAIN.start + draw * (AGAIN.end - AGAIN.start), AFTER_FAILURE, Micros::MAX)
+    }
+
     fn at(&mut self, round: Round, place: f64, times: Micros, most: Micros) -> Micros {
         self.ahead = place * f64::from(round.all);
         (round.length(self.call, times).min(most) as f64 * place) as Micros
--- /dev/null
+++ b/crates/startup/tests/lease.rs
@@ -0,0 +1,96 @@
+//! The lease on the list of workers, each rule by a case that fails without it.
+
+use roselock_startup::lease::ListLease;
+use roselock_startup::pace::{EndReason, Micros, WatchEnd};
+use rstest::rstest;
+
+const SECOND: Micros = 1_000_000;
+const CONNECT: Micros = SECOND / 5;
+
+fn end(reason: EndReason, as_of: Micros) -> WatchEnd {
+    WatchEnd { reason, as_of }
+}
+
+/// The first moment, in tenths of a second, at which the lease does not hold.
+fn runs_out(lease: &ListLease) -> Option<Micros> {
+    (0..1_000).find(|tenth| !lease.holds(tenth * SECOND / 10))
+}
+
+/// Guards against a list of before the start that is acted on though the service could tell of its changes: a refusal
+/// shows that it cannot, a silence alone does not.
+#[rstest]
+#[case::nothing(&[], false)]
+#[case::refused(&[EndReason::Refused], true)]
+#[case::unreachable(&[EndReason::Unreachable], true)]
+#[case::silent(&[EndReason::Silent], false)]
+#[case::silent_twice(&[EndReason::Silent, EndReason::Silent], true)]
+fn a_list_of_before_the_start_is_held_back(#[case] ends: &[EndReason], #[case] holds: bool) {
+    let mut lease = ListLease::unconfirmed(CONNECT);
+    for reason in ends {
+        lease.watch_ended(end(*reason, SECOND), 3 * SECOND);
+    }
+    assert_eq!(lease.holds(2 * SECOND), holds);
+    lease.renewed();
+    assert!(lease.holds(Micros::MAX - 1), "an open watch tells of each change");
+}
+
+/// Guards against an installation that wants a list of before to be acted on with care, and is made to wait.
+#[rstest]
+fn a_trusted_list_serves_from_the_start() {
+    let mut lease = ListLease::trusted(CONNECT);
+    assert!(lease.holds(9 * SECOND));
+    lease.watch_ended(end(EndReason::Silent, 10 * SECOND), 14 * SECOND);
+    assert_eq!(runs_out(&lease), Some(160));
+}
+
+/// Guards against a lease that outlasts what counts as told, and against one that ends the work while the service is down.
+#[rstest]
+fn a_lease_runs_out_six_seconds_after_the_list_was_in_step() {
+    let mut lease = ListLease::unconfirmed(CONNECT);
+    lease.renewed();
+    lease.watch_ended(end(EndReason::Silent, 10 * SECOND), 14 * SECOND);
+    assert_eq!(runs_out(&lease), Some(160));
+    // A call that began later and was never answered, then one that was refused; an older sign shortens nothing.
+    lease.watch_ended(end(EndReason::Silent, 13 * SECOND), 17 * SECOND);
+    assert_eq!(runs_out(&lease), Some(190));
+    lease.watch_ended(end(EndReason::Refused, 18 * SECOND), 20 * SECOND);
+    lease.watch_ended(end(EndReason::Refused, 17 * SECOND), 20 * SECOND);
+    assert_eq!(runs_out(&lease), Some(240));
+    // A service with too many callers is given time on purpose; the list serves until the next call is answered.
+    lease.watch_ended(end(EndReason::Refused, 20 * SECOND), 50 * SECOND);
+    assert_eq!(runs_out(&lease), Some(510));
+}
+
+/// Guards against a move after which nothing is heard: what the service knows counts as told 4 s later, and one refusal
+/// at the new address is no sign that nobody hears of changes there.
+#[rstest]
+fn a_move_shortens_the_lease() {
+    let mut lease = ListLease::unconfirmed(CONNECT);
+    lease.renewed();
+    lease.moved(10 * SECOND);
+    assert_eq!(runs_out(&lease), Some(140));
+    lease.watch_ended(end(EndReason::Refused, 11 * SECOND), 13 * SECOND);
+    assert_eq!(runs_out(&lease), Some(140));
+    lease.watch_ended(end(EndReason::Refused, 13 * SECOND), 15 * SECOND);
+    assert_eq!(runs_out(&lease), Some(190));
+}
+
+/// Guards against a send that arrives late because its connection came up late.
+#[rstest]
+#[case::quick(SECOND / 5, 60)]
+#[case::slow(7 * SECOND / 5, 50)]
+#[case::without_end(60 * SECOND, 30)]
+fn slow_connections_shorten_the_term(#[case] connect: Micros, #[case] tenths: Micros) {
+    let mut lease = ListLease::unconfirmed(connect);
+    lease.watch_ended(end(EndReason::Refused, 0), SECOND);
+    assert_eq!(runs_out(&lease), Some(tenths));
+}
+
+/// Guards against a simulator or a fleet of hosts that come by themselves that are held to a watch which they don't have.
+#[rstest]
+fn without_a_term_nothing_runs_out() {
+    let mut lease = ListLease::unlimited();
+    lease.moved(SECOND);
+    lease.watch_ended(end(EndReason::Silent, SECOND), SECOND);
+    assert_eq!(runs_out(&lease), None);
+}
--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -105,6 +105,8 @@
     pub site: Site,
     /// Whether moves of discovery are followed at one's place in a round.
     pub spread_moves: bool,
+    /// How long after a move of discovery the whole list is asked for.
+    pub resync_after: roselock::Micros,
     /// The terms on which workers' doors are heeded.
     pub doors: Option<Terms>,
     /// The log.
@@ -194,6 +196,7 @@
     let told = parts.start.list_call().ok().flatten();
     site.settings.list_call = told.unwrap_or(site.settings.list_call);
     site.settings.careful = parts.start.careful;
+    let resync_after = parts.start.resync_after().map_err(|problem| problem.to_string())?;
     Ok(Config {
         listen: address("listen", file.listen, "NODE_LISTEN")?,
         discovery: address("discovery", file.discovery, "NODE_DISCOVERY")?,
@@ -206,6 +209,7 @@
         limits: file.limits,
         known: List { rev: file.known.rev, all: true, targets: file.known.targets },
         spread_moves: parts.start.spread_moves,
+        resync_after,
         doors: parts.start.doors(site.settings.fleet_size),
         log: parts.log,
         gearman: parts.gearman,
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -6,7 +6,7 @@
 use crate::memory::core::{Core, Operation, longest};
 use crate::memory::{FleetId, Inbox, Input, clock};
 use crate::wire::admin::{self, Admin};
-use crate::wire::discovery::{Registry, Watch};
+use crate::wire::discovery::{Progress, Registry, Watch};
 use crate::wire::front::{self, Front};
 use crate::wire::gearman::{self, Gearman};
 use crate::wire::ipfix;
@@ -14,8 +14,8 @@
 use crate::wire::table::Table;
 use crate::wire::upstream::HttpDialer;
 use may::sync::mpsc::channel;
-use roselock::Micros;
 use roselock::settings::{Site, fnv};
+use roselock::{Micros, Settings};
 use roselock_startup::pace::Pace;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -59,7 +59,9 @@
     let owner = handover::Owner { site: config.listen.to_string(), name: config.name.clone() };
     let kept = handover::begin(owner, &operation.hand);
     let mut core = Core::new(inbox.clone(), outlet, flows, operation.clone());
-    let fleet = core.add_fleet(site.settings.clone(), config.seed, Some(Box::new(dialer)))?;
+    // Only its list counts as told unheard: what comes to us by itself is told by its connection.
+    let settings = Settings { lease_list: true, ..site.settings.clone() };
+    let fleet = core.add_fleet(settings, config.seed, Some(Box::new(dialer)))?;
     config.doors.into_iter().for_each(|terms| core.set_doors(fleet, terms));
     let mut watch = Watch {
         registry: registry.clone(),
@@ -71,6 +73,9 @@
         fleet,
         pushed: !config.site.settings.must_watch,
         figures: operation.figures.clone(),
+        resync_after: config.resync_after,
+        resync: None,
+        progress: Progress::default(),
     };
     let known = hosts(&config.known, &mut watch.site);
     core.came_up_with(fleet, known);
--- a/dispatcher/src/lifecycle/start.rs
+++ b/dispatcher/src/lifecycle/start.rs
@@ -1,7 +1,7 @@
 //! `[start]` of the operators' file: how a dispatcher starts beside hundreds of others.
 
 use super::problem::Problem;
-use roselock::Micros;
+use roselock::{Micros, SECOND};
 use roselock_startup::door::Terms;
 use serde::Deserialize;
 use toml::Spanned;
@@ -10,6 +10,10 @@
 const GUESSES: std::ops::RangeInclusive<f64> = 1.0..=1000.0;
 /// What a bound of new connections may be, a second at one worker.
 const CONNECTIONS: std::ops::RangeInclusive<f64> = 0.1..=100_000.0;
+/// When the whole list may be asked for after a move, in seconds.
+const RESYNCS: std::ops::RangeInclusive<f64> = 0.1..=3600.0;
+/// The same where nothing is told: it costs the list service one whole list for each dispatcher.
+const RESYNC: Micros = 30 * SECOND;
 
 /// The section; what is missing is as on the platform.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -21,6 +25,8 @@
     pub careful: bool,
     /// A list service that has moved is called at one's place in a first round, not at once.
     pub spread_moves: bool,
+    /// How long after a move the whole list is asked for, in seconds; at once, changes alone are.
+    resync_after_s: Option<Spanned<f64>>,
     /// Workers that close new connections at once are dialled again after a pause; what needs one waits meanwhile, and
     /// kept connections that are not used go sooner.
     door: bool,
@@ -49,9 +55,19 @@
         let cure = "new connections a second that all dispatchers may open at one worker, from 0.1 to 100000";
         Err(Problem::new(told.span(), "connections_per_s", format!("{n} makes no sense"), cure))
     }
+    /// How long after a move the whole list is asked for, or what is wrong with it.
+    pub fn resync_after(&self) -> Result<Micros, Problem> {
+        let Some(told) = &self.resync_after_s else { return Ok(RESYNC) };
+        let seconds = *told.as_ref();
+        if RESYNCS.contains(&seconds) {
+            return Ok((seconds * SECOND as f64) as Micros);
+        }
+        let cure = "the seconds after a move of the list service until the whole list is asked for, from 0.1 to 3600";
+        Err(Problem::new(told.span(), "resync_after_s", format!("{seconds} makes no sense"), cure))
+    }
     /// What is wrong with the section, if anything.
     pub fn check(&self) -> Result<(), Problem> {
-        self.list_call().and(self.connections()).map(|_| ())
+        self.list_call().and(self.connections()).and(self.resync_after()).map(|_| ())
     }
     /// The terms on which workers' doors are heeded, one of `all` dispatchers; none, and they are not.
     pub fn doors(&self, all: u32) -> Option<Terms> {
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -63,6 +63,8 @@
     doors: Option<Terms>,
     /// When a new connection was closed at a door last.
     closed: Option<Micros>,
+    /// Its list was fit to act on at the latest step.
+    list_holds: bool,
 }
 
 /// The client's side of a stream whose client has left.
@@ -206,6 +208,8 @@
     hand_seen: u64,
     told: BTreeSet<WorkerId>,
     published: Micros,
+    /// The lists of all fleets have been fit to act on.
+    list_was_usable: bool,
     /// How far the start has come.
     start: Start,
 }
@@ -244,6 +248,7 @@
             hand_seen: 0,
             told: Default::default(),
             published: 0,
+            list_was_usable: false,
             start: Start::begin(now, false),
         }
     }
@@ -252,7 +257,7 @@
     pub fn came_up_with(&mut self, fleet: FleetId, hosts: Vec<ListedHost>) {
         self.start = Start::begin(clock::now(), !hosts.is_empty());
         self.operation.figures.start(&self.start, None);
-        self.list(fleet, ListMode::Complete, hosts);
+        self.list(fleet, ListMode::Known, hosts);
     }
 
     /// Passes call-backs of streams that are not here to the other process of an upgrade.
@@ -284,6 +289,7 @@
             stepped: 0,
             doors: None,
             closed: None,
+            list_holds: false,
         });
         Ok(self.fleets.len() - 1)
     }
@@ -396,13 +402,12 @@
                 self.add_fleet(*set, seed, None).expect("checked by whoever made it");
             }
             Input::Feed => {}
-            Input::WatchBroken(fleet, reached) => {
+            Input::WatchEnded(fleet, end) => {
                 self.start.broken();
                 self.operation.figures.start(&self.start, None);
-                let mode = if reached { ListMode::Broken } else { ListMode::Unreached };
-                let broken = Event::Fleet { mode, entries: Vec::new() };
-                self.fleets[fleet].events.push(broken);
+                self.fleets[fleet].events.push(Event::WatchEnded(end));
             }
+            Input::ListMoved(fleet, at) => self.fleets[fleet].events.push(Event::ListMoved(at)),
             Input::Settings(fleet, set) => {
                 let fleet = &mut self.fleets[fleet];
                 match fleet.dispatcher.retell(&set) {
--- a/dispatcher/src/memory/core/hosts.rs
+++ b/dispatcher/src/memory/core/hosts.rs
@@ -19,7 +19,7 @@
             }
         }
         let fleet = &mut self.fleets[f];
-        if mode == ListMode::Complete {
+        if mode.is_complete() {
             for (id, host) in &mut fleet.hosts {
                 if !hosts.iter().any(|h| h.entry.worker == *id) {
                     host.entry.state = Listed::Gone;
@@ -55,8 +55,35 @@
         fleet.events.push(Event::Fleet { mode, entries });
         self.clear_lines(|host| host.entry.state != Listed::Ready);
         self.hold_back_at(f, |host| host.entry.state != Listed::Ready);
+        self.update_readiness();
+    }
+
+    /// The process is ready once some host takes work and the list has been fit to act on. From then on a list that is out
+    /// of date makes no process unready: all would be so at the same time.
+    pub(super) fn update_readiness(&mut self) {
+        let mut listing = self.fleets.iter().filter(|f| f.dialer.is_some());
+        self.list_was_usable |= listing.all(|f| f.dispatcher.list_holds());
         let mut hosts = self.fleets.iter().flat_map(|f| f.hosts.values());
-        self.inbox.set_able(hosts.any(|h| h.entry.state == Listed::Ready));
+        let takes_work = hosts.any(|h| h.entry.state == Listed::Ready);
+        self.inbox.set_able(takes_work && self.list_was_usable);
+    }
+
+    /// Says when a list becomes too old to act on, and when it is in step again.
+    pub(super) fn log_list_age(&mut self, f: FleetId) {
+        let fleet = &mut self.fleets[f];
+        let holds = fleet.dispatcher.list_holds();
+        if std::mem::replace(&mut fleet.list_holds, holds) == holds {
+            return;
+        }
+        if !self.list_was_usable {
+            self.update_readiness();
+        } else if holds {
+            tracing::info!("the list of hosts is in step again");
+        } else {
+            tracing::warn!(
+                "the list of hosts is out of date: nothing new is sent until the list service answers"
+            );
+        }
     }
 
     /// Closes connections well before their hosts would.
--- a/dispatcher/src/memory/core/steps.rs
+++ b/dispatcher/src/memory/core/steps.rs
@@ -39,6 +39,7 @@
         let mut actions = std::mem::take(&mut self.actions);
         fleet.dispatcher.step(now, &fleet.events, &mut actions);
         fleet.events.clear();
+        self.log_list_age(f);
         for action in actions.drain(..) {
             self.act(f, now, action);
         }
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -6,7 +6,9 @@
 pub mod hand;
 pub mod pool;
 
-use roselock::{ClassId, FleetEntry, Gauge, KeyId, ListMode, Micros, Outcome, Settings, TenantId, WorkerId};
+use roselock::{
+    ClassId, FleetEntry, Gauge, KeyId, ListMode, Micros, Outcome, Settings, TenantId, WatchEnd, WorkerId,
+};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
@@ -321,8 +323,10 @@
     Fleet(FleetId, Box<Settings>, u64),
     /// A feed may have something.
     Feed,
-    /// The watch on the hosts broke, or a call for one failed; whether there was a connection.
-    WatchBroken(FleetId, bool),
+    /// The watch on the hosts, or a call for one, ended.
+    WatchEnded(FleetId, WatchEnd),
+    /// The list service was moved at that time.
+    ListMoved(FleetId, Micros),
     /// New settings of the decisions, for the same names.
     Settings(FleetId, Box<Settings>),
     /// Finish what is owed, then stop.
--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -3,25 +3,26 @@
 use super::http::{Bad, Reader, by};
 use super::list::{List, Lists, hosts};
 use super::socket::Socket;
-use crate::memory::{FleetId, Inbox, Input};
+use crate::memory::{FleetId, Inbox, Input, clock};
 use may::sync::mpsc::{Receiver, Sender};
 use roselock::settings::Site;
 use roselock::{ListMode, Micros, SECOND};
 use roselock_operation::figures::Figures;
-use roselock_startup::pace::SILENCE;
+use roselock_startup::pace::{EndReason, GOLDEN, SILENCE, WatchEnd};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// How long a call may take, and the answer to one for a watch, which may wait for its turn.
-const CALL: Micros = SECOND;
-const TURN: Micros = 3 * SECOND;
+/// How long a connection may take to come up and a request to be written, and how long an answer, which may wait for its
+/// turn.
+const CONNECT: Micros = SECOND;
+const ANSWER: Micros = 3 * SECOND;
 /// Between calls where lists are pushed: the agent is the machine's own, and what it has counts as told at once.
 const PUSHED: std::time::Duration = std::time::Duration::from_millis(100);
 /// A whole list of nobody is hardly ever true: it is asked for again after so long, each time twice as long, at most
 /// [`DOUBLED`] times.
 const NOBODY: Micros = SECOND;
 const DOUBLED: u32 = 3;
-/// Longest line.
+/// Longest line of a watch, and the longest whole list.
 const LINE: usize = 1 << 20;
 
 /// Where discovery is, for the watch that asks there and for whoever moves it.
@@ -33,8 +34,9 @@
 
 struct Place {
     at: SocketAddr,
-    /// Counts the moves.
+    /// Counts the moves, and when the latest was.
     moves: u64,
+    moved_at: Micros,
     /// The connection that the watch reads from.
     socket: Option<Socket>,
 }
@@ -42,7 +44,7 @@
 impl Registry {
     /// Discovery at an address; `ask` wakes the watch.
     pub fn new(at: SocketAddr, ask: Sender<()>) -> Registry {
-        Registry { place: Arc::new(Mutex::new(Place { at, moves: 0, socket: None })), ask }
+        Registry { place: Arc::new(Mutex::new(Place { at, moves: 0, moved_at: 0, socket: None })), ask }
     }
     fn place(&self) -> MutexGuard<'_, Place> {
         self.place.lock().unwrap_or_else(PoisonError::into_inner)
@@ -53,7 +55,7 @@
         if place.at == at {
             return false;
         }
-        (place.at, place.moves) = (at, place.moves + 1);
+        (place.at, place.moves, place.moved_at) = (at, place.moves + 1, clock::now());
         place.socket.take().iter().for_each(Socket::close);
         drop(place);
         let _ = self.ask.send(());
@@ -81,6 +83,21 @@
     pub pushed: bool,
     /// Where spoilt lists are counted.
     pub figures: Arc<Figures>,
+    /// How long after a move the whole list is asked for, and when it will be, unless it is told by then.
+    pub resync_after: Micros,
+    /// See [`Watch::resync_after`].
+    pub resync: Option<Micros>,
+    /// How far the present watch has come.
+    pub progress: Progress,
+}
+
+/// How far a watch has come.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// There was a connection.
+    reached: bool,
+    /// The latest word on it.
+    word: Option<Micros>,
 }
 
 impl Watch {
@@ -89,42 +106,66 @@
     pub fn run(mut self, asked: &Receiver<()>) {
         let mut watched = 0;
         while self.pushed || asked.recv().is_ok() {
-            let reached = loop {
+            let end = loop {
                 // One watch answers all who asked until now.
                 while asked.try_recv().is_ok() {}
-                let (at, moves) = {
+                let (at, moves, moved_at) = {
                     let place = self.registry.place();
-                    (place.at, place.moves)
+                    (place.at, place.moves, place.moved_at)
                 };
                 if moves != watched {
-                    // Its versions are its own: the whole list first.
-                    (watched, self.rev) = (moves, None);
+                    watched = moves;
+                    self.moved(moved_at);
                 }
-                let mut reached = false;
-                let ended = self.watch(at, moves, &mut reached);
-                self.in_vain = if self.nobody { self.in_vain.saturating_add(1) } else { 0 };
-                if self.nobody {
-                    // The version of such a list says nothing.
-                    self.rev = None;
-                }
-                tracing::warn!("discovery at {at}: the watch ended: {ended:?}");
+                let end = self.watch_once(at, moves);
                 // Who asked while it was open has been answered by it. Before the look at the moves: one that comes
                 // later asks anew.
                 while asked.try_recv().is_ok() {}
                 if self.registry.place().moves == moves {
-                    break reached;
+                    break end;
                 }
             };
-            self.inbox.post(Input::WatchBroken(self.fleet, reached));
+            self.inbox.post(Input::WatchEnded(self.fleet, end));
             if self.pushed {
                 may::coroutine::sleep(PUSHED);
             }
         }
     }
 
+    /// Discovery is at another address. Only what changed is asked for there, which costs it little when all dispatchers
+    /// move at once. Should its versions be others, that tells too little: the whole list follows later, for each
+    /// dispatcher at a place of its own.
+    fn moved(&mut self, moved_at: Micros) {
+        self.inbox.post(Input::ListMoved(self.fleet, moved_at));
+        let place = (f64::from(self.site.settings.me) * GOLDEN).fract();
+        let spread = (self.resync_after as f64 * place) as Micros;
+        self.resync = Some(clock::now() + self.resync_after + spread);
+    }
+
+    /// One watch, or the call for it, up to its end.
+    fn watch_once(&mut self, at: SocketAddr, moves: u64) -> WatchEnd {
+        let began = clock::now();
+        self.progress = Progress { reached: false, word: None };
+        let ended = self.watch(at, moves);
+        self.in_vain = if self.nobody { self.in_vain.saturating_add(1) } else { 0 };
+        if self.nobody {
+            // The version of such a list says nothing.
+            self.rev = None;
+        }
+        tracing::warn!("discovery at {at}: the watch ended: {ended:?}");
+        let reason = match ended {
+            _ if !self.progress.reached => EndReason::Unreachable,
+            Err(Bad::Late) => EndReason::Silent,
+            _ => EndReason::Refused,
+        };
+        // What comes before the first word of a watch says that the service does not answer: when it says so itself.
+        let seen = if reason == EndReason::Refused { clock::now() } else { began };
+        WatchEnd { reason, as_of: self.progress.word.unwrap_or(seen) }
+    }
+
     /// Opens a connection; it is ended by a move.
     fn connect(&self, at: SocketAddr, moves: u64) -> Result<Socket, Bad> {
-        let socket = Socket::connect(at, by(CALL)).map_err(|_| Bad::Broken)?;
+        let socket = Socket::connect(at, by(CONNECT)).map_err(|_| Bad::Broken)?;
         let mut place = self.registry.place();
         if place.moves != moves {
             return Err(Bad::Ended);
@@ -133,14 +174,14 @@
         Ok(socket)
     }
 
-    fn watch(&mut self, at: SocketAddr, moves: u64, reached: &mut bool) -> Result<(), Bad> {
+    fn watch(&mut self, at: SocketAddr, moves: u64) -> Result<(), Bad> {
         let mut socket = self.connect(at, moves)?;
-        *reached = true;
+        self.progress.reached = true;
         let call = |query: &str| format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {at}\r\n\r\n");
-        let mut reader = Reader::new(socket.clone());
+        let mut reader = Reader::with_body_bound(socket.clone(), LINE);
         if self.rev.is_none() {
-            socket.write(&[call("").as_bytes()], by(CALL)).map_err(|_| Bad::Broken)?;
-            let answer = reader.response(by(CALL))?;
+            socket.write(&[call("").as_bytes()], by(CONNECT)).map_err(|_| Bad::Broken)?;
+            let answer = reader.response(by(ANSWER))?;
             if answer.status != 200 {
                 return Err(Bad::Status(answer.status));
             }
@@ -150,13 +191,13 @@
             }
             if answer.close {
                 socket = self.connect(at, moves)?;
-                reader = Reader::new(socket.clone());
+                reader = Reader::with_body_bound(socket.clone(), LINE);
             }
         }
         let Some(rev) = self.rev else { return Err(Bad::Status(400)) };
         let query = format!("?watch=1&after={rev}");
-        socket.write(&[call(&query).as_bytes()], by(CALL)).map_err(|_| Bad::Broken)?;
-        let head = reader.stream_head(by(TURN))?;
+        socket.write(&[call(&query).as_bytes()], by(CONNECT)).map_err(|_| Bad::Broken)?;
+        let head = reader.stream_head(by(ANSWER))?;
         if head.status != 200 {
             return Err(Bad::Status(head.status));
         }
@@ -167,8 +208,14 @@
             let ask_again = || by(NOBODY << self.in_vain.min(DOUBLED));
             again = self.nobody.then(|| again.unwrap_or_else(ask_again));
             let (mut chunk, begun) = (Vec::new(), lists.held() > 0);
-            if !reader.chunk(&mut chunk, LINE, again.map_or(silent, |at| silent.min(at)))? {
-                return Ok(());
+            let due = [again, self.resync].into_iter().flatten().fold(silent, Micros::min);
+            match reader.chunk(&mut chunk, LINE, due) {
+                Err(Bad::Late) if self.resync == Some(due) => {
+                    self.rev = None;
+                    return Ok(());
+                }
+                ended if !ended? => return Ok(()),
+                _ => {}
             }
             lists.push(&chunk);
             let mut whole = false;
@@ -183,12 +230,22 @@
             if whole || !begun || lists.held() == 0 {
                 silent = by(SILENCE);
             }
+            if lists.held() == 0 {
+                self.heard();
+            }
             if lists.held() > LINE {
                 return Err(Bad::Status(413));
             }
         }
     }
 
+    /// A word on the watch, and no part of another. The first one says that nothing is missing, be it an empty line.
+    fn heard(&mut self) {
+        if self.progress.word.replace(clock::now()).is_none() {
+            self.inbox.post(Input::Hosts(self.fleet, ListMode::Changes, Vec::new()));
+        }
+    }
+
     /// A list that makes no sense is dropped; the last good one stays.
     fn spoilt(&self, why: &str) {
         let count = self.figures.spoilt_list();
@@ -203,6 +260,8 @@
             return Err(Bad::Status(409));
         }
         self.rev = Some(list.rev);
+        self.progress.word = Some(clock::now());
+        self.resync.take_if(|_| list.all);
         // Changes of nothing say nothing of who is there.
         self.nobody = list.targets.is_empty() && (list.all || self.nobody);
         if self.nobody {
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -81,7 +81,7 @@
     }
 
     /// Reads what its headers say of its framing.
-    fn frame(&mut self) -> Result<(), u16> {
+    fn frame(&mut self, body_bound: usize) -> Result<(), u16> {
         let mut lengths = Vec::new();
         for (name, value) in &self.headers {
             let (name, value) = (self.text(name), self.text(value).trim());
@@ -105,7 +105,7 @@
         if lengths.windows(2).any(|w| w[0] != w[1]) || (self.chunked && self.length.is_some()) {
             return Err(400);
         }
-        if self.length.is_some_and(|l| l > BODY) { Err(413) } else { Ok(()) }
+        if self.length.is_some_and(|l| l > body_bound) { Err(413) } else { Ok(()) }
     }
 }
 
@@ -115,12 +115,18 @@
     buffer: Vec<u8>,
     /// Reads since it last waited.
     in_a_row: u32,
+    /// The longest body that it takes.
+    body_bound: usize,
 }
 
 impl Reader {
     /// A reader of a connection at its start.
     pub fn new(socket: Socket) -> Reader {
-        Reader { socket, buffer: Vec::new(), in_a_row: 0 }
+        Reader::with_body_bound(socket, BODY)
+    }
+    /// One that takes bodies of up to so many bytes.
+    pub fn with_body_bound(socket: Socket, body_bound: usize) -> Reader {
+        Reader { socket, buffer: Vec::new(), in_a_row: 0, body_bound }
     }
     /// What is read and not yet parsed.
     pub fn held(&self) -> &[u8] {
@@ -212,7 +218,7 @@
             // Without a length the body ends with the connection.
             if message.length.is_none() && !message.chunked {
                 message.close = true;
-                while self.buffer.len() < at + BODY && self.fill(deadline)? {}
+                while self.buffer.len() < at + self.body_bound && self.fill(deadline)? {}
                 message.length = Some(self.buffer.len() - at);
             }
             self.take_body(&mut message, at, deadline)?;
@@ -277,7 +283,7 @@
                 if let Some((mut message, at)) = parse(&self.buffer)? {
                     // The ranges hold in the buffer, which the message takes over once the body is in.
                     message.raw = std::mem::take(&mut self.buffer);
-                    let framed = message.frame();
+                    let framed = message.frame(self.body_bound);
                     self.buffer = std::mem::take(&mut message.raw);
                     return framed.map_err(Bad::Status).map(|()| (message, at));
                 }
@@ -293,7 +299,7 @@
         if message.chunked {
             let mut raw = self.split(at);
             loop {
-                let most = at + BODY - raw.len();
+                let most = at + self.body_bound - raw.len();
                 if !self.chunk(&mut raw, most, deadline)? {
                     break;
                 }
--- a/dispatcher/tests/discovery.rs
+++ b/dispatcher/tests/discovery.rs
@@ -131,3 +131,82 @@
     let _client = dispatcher.ask("c1", "look", 10.0);
     assert_eq!(second.take().1.header("x-call-id"), Some("c1"));
 }
+
+/// Whether a probe of readiness succeeds.
+fn is_ready(dispatcher: &Dispatcher) -> bool {
+    let mut peer = Peer::new(connect(dispatcher.http));
+    peer.write("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    peer.read().expect("an answer").status() == 200
+}
+
+/// A dispatcher with a list of before its start sent to hosts that drained meanwhile: they counted as told. Nothing is
+/// sent, and the process is not ready, until the list service has answered, or has refused to.
+#[rstest]
+#[case::answered(true)]
+#[case::refused(false)]
+fn a_list_of_before_the_start_waits_for_the_service(#[case] answers: bool) {
+    let (first, second) = (Host::new("s-1"), Host::new("s-2"));
+    let service = Host::new("discovery");
+    let at = service.listener.local_addr().expect("an address");
+    let known = list(7, true, &[first.line("ready")]);
+    let dispatcher =
+        Dispatcher::launch(Start { known: &known, admin: true, ..Start::new(at, &settings(0.0, 2.0), "") });
+    let (mut watch, call) = service.request();
+    assert_eq!(call.start, WATCH);
+    let _client = dispatcher.ask("c1", "look", 10.0);
+    assert!(!is_ready(&dispatcher));
+    if answers {
+        let changes = list(8, false, &[first.line("draining"), second.line("ready")]);
+        watch.write(&(STREAM.to_owned() + &chunk(&(changes + "\n"))));
+        assert_eq!(second.take().1.header("x-call-id"), Some("c1"));
+    } else {
+        watch.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(first.take().1.header("x-call-id"), Some("c1"));
+    }
+    assert!(is_ready(&dispatcher));
+}
+
+/// A call whose connection came up and was never answered was taken for one in a long queue: with 300 dispatchers the next
+/// one came 6 s after its end. It comes in time to be told within 6 s of the first.
+#[rstest]
+fn a_call_that_is_never_answered_is_made_again_in_time() {
+    let host = Host::new("s-1");
+    let fleet = settings(0.0, 2.0).replace(r#""fleetSize":1,"me":0"#, r#""fleetSize":300,"me":299"#);
+    let service = Host::new("discovery");
+    let at = service.listener.local_addr().expect("an address");
+    let known = list(7, true, &[host.line("ready")]);
+    let _dispatcher = Dispatcher::launch(Start { known: &known, ..Start::new(at, &fleet, "") });
+    let (_silent, call) = service.request();
+    let began = Instant::now();
+    assert_eq!(call.start, WATCH);
+    let (_again, call) = service.request();
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+    assert_eq!(call.start, WATCH);
+}
+
+/// After a move all dispatchers asked for the whole list and then for a watch, at once, which was too much for the service.
+/// Only what changed is asked for at once; as its versions might be others, the whole list follows later.
+#[rstest]
+fn after_a_move_the_whole_list_follows_later() {
+    let (first, second) = (Host::new("s-1"), Host::new("s-2"));
+    let (before, moved) = (Host::new("discovery"), Host::new("moved"));
+    let address = |host: &Host| host.listener.local_addr().expect("an address");
+    let known = list(7, true, &[first.line("ready")]);
+    let operator = Some("[start]\nresync_after_s = 0.2\n");
+    let settings = settings(0.0, 2.0);
+    let dispatcher =
+        Dispatcher::launch(Start { known: &known, operator, ..Start::new(address(&before), &settings, "") });
+    let (mut watch, _) = before.request();
+    watch.write(&(STREAM.to_owned() + &chunk(&(list(7, false, &[]) + "\n"))));
+    dispatcher.reload(&address(&before).to_string(), &address(&moved).to_string());
+    let (mut watch, call) = moved.request();
+    assert_eq!(call.start, WATCH);
+    watch.write(&(STREAM.to_owned() + &chunk(&(list(9, false, &[]) + "\n"))));
+    let (mut whole, call) = moved.request();
+    assert_eq!(call.start, "GET /registry/instances HTTP/1.1");
+    let hosts = list(9, true, &[second.line("ready")]);
+    whole.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{hosts}", hosts.len()));
+    assert_eq!(whole.read().expect("a call").start, WATCH.replace('7', "9"));
+    let _client = dispatcher.ask("c1", "look", 10.0);
+    assert_eq!(second.take().1.header("x-call-id"), Some("c1"));
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -8,6 +8,7 @@
 //! a verdict said `last`, its stream was accepted, or the client left.
 
 use roselock_startup::pace::Round;
+pub use roselock_startup::pace::{EndReason, WatchEnd};
 use std::fmt;
 
 /// A point in time or a span, in microseconds.
@@ -242,6 +243,9 @@
     pub tail_misses: Option<f64>,
     /// Discovery must be asked ([`Action::Watch`]); otherwise changes come by themselves.
     pub must_watch: bool,
+    /// Whether changes count as told unheard once the watch has been closed for a while, so that the list is held under a
+    /// lease ([`roselock_startup::lease`]).
+    pub lease_list: bool,
     /// What one call is taken to cost discovery before any was made; then the pace follows what calls show.
     pub list_call: Micros,
     /// Until discovery has answered, each worker is tried by one job first, and what must not run twice goes only to
@@ -277,6 +281,7 @@
             over_share_worth: 1.0,
             tail_misses: None,
             must_watch: false,
+            lease_list: false,
             list_call: LIST_CALL,
             careful: false,
             live_units: false,
@@ -417,16 +422,14 @@
     Changes,
     /// The complete list: who is absent is gone.
     Complete,
-    /// A call failed or the subscription broke; the earlier list remains.
-    Broken,
-    /// There was not even a connection to call on; the earlier list remains.
-    Unreached,
+    /// The complete list as of before the start: no word of discovery.
+    Known,
 }
 
 impl ListMode {
-    /// Whether it is a word of the list service.
-    pub fn tells(self) -> bool {
-        matches!(self, ListMode::Changes | ListMode::Complete)
+    /// Whether who is absent is gone.
+    pub fn is_complete(self) -> bool {
+        matches!(self, ListMode::Complete | ListMode::Known)
     }
 }
 
@@ -516,6 +519,10 @@
         /// The entries.
         entries: Vec<FleetEntry>,
     },
+    /// The watch on the workers, or a call for one, ended; the earlier list remains.
+    WatchEnded(WatchEnd),
+    /// The operators have moved discovery to another address, at that time.
+    ListMoved(Micros),
     /// A client request arrived; exactly one final answer is owed.
     Job(JobIn),
     /// An attempt's stream has begun: it belongs to the client now.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -55,7 +55,7 @@
 const OPENING: Micros = SECOND / 100; // that a worker may take over a new connection, beside its way
 const RETURN: f64 = 4.0; // mean runs after which a job may go again where it was called off
 const TICK_TOKEN: u64 = 1 << 40; // timer tokens above every job id
-const WATCH_TOKEN: u64 = 1 << 41;
+pub(crate) const WATCH_TOKEN: u64 = 1 << 41;
 const MOVE_TOKEN: u64 = 1 << 42;
 
 impl Room {
@@ -186,7 +186,9 @@
     /// Books one event; true if a waiting job might leave because of it.
     fn take(&mut self, event: &Event, out: &mut Vec<Action>) -> bool {
         match event {
-            Event::Fleet { .. } | Event::Suspend { .. } => self.listed(event, out),
+            Event::Fleet { .. } | Event::WatchEnded(_) | Event::ListMoved(_) | Event::Suspend { .. } => {
+                self.listed(event, out);
+            }
             Event::Job(job) => self.arrive(job, out),
             Event::Accepted { job, .. } => self.stream(*job),
             Event::Notice { job, round, note } => return self.notice(*job, *round, *note),
@@ -269,6 +271,7 @@
         let (worker, class, limits) = (&self.workers[w], &self.set.classes[job.class], &self.set.limits);
         // Rule 3: from the word of a drain on, nothing new.
         if !worker.ready
+            || !self.list_holds()
             || job.ended
             || job.streaming
             || self.now >= job.deadline
@@ -500,14 +503,7 @@
     // ---- The list of workers ----
 
     pub(crate) fn fleet(&mut self, mode: ListMode, entries: &[FleetEntry], out: &mut Vec<Action>) {
-        if !mode.tells() {
-            // Ask anew, more slowly so as not to crowd discovery, but within the time that binds us.
-            let (at, round, draw) = (self.now, self.set.round(), self.rng.rand_float());
-            let after = self.calls.broken(at, round, draw, mode == ListMode::Broken);
-            out.push(Action::Timer { after, token: WATCH_TOKEN });
-            return;
-        }
-        let mut changed = mode == ListMode::Complete;
+        let mut changed = mode.is_complete();
         if changed {
             let listed: BTreeSet<WorkerId> = entries.iter().map(|e| e.worker).collect();
             self.workers.iter_mut().for_each(|w| w.ready &= listed.contains(&w.listed.worker));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -223,6 +223,7 @@
             over_share_worth: self.over_share_worth.unwrap_or(1.0),
             tail_misses: self.objective_mix.miss_share.filter(|_| self.objective_mix.slow_end > 0.0),
             must_watch: self.discovery == "subscribe",
+            lease_list: false,
             list_call: LIST_CALL,
             careful: false,
             live_units: self.weight_kind == "live",
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,8 @@
 //! The state that the decision module keeps: plain types, no decisions (those are in `rules.rs`).
 
 use crate::api::*;
-use crate::rules::POOL_WEIGHT;
+use crate::rules::{POOL_WEIGHT, WATCH_TOKEN};
+use roselock_startup::lease::ListLease;
 use roselock_startup::pace::{GOLDEN, Pace};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -33,6 +34,16 @@
     pub(crate) quit: bool,
 }
 
+/// The lease on the list of workers at the start.
+fn lease(set: &Settings) -> ListLease {
+    let connect = set.limits.connect_timeout;
+    match (set.lease_list, set.careful) {
+        (false, _) => ListLease::unlimited(),
+        (true, false) => ListLease::unconfirmed(connect),
+        (true, true) => ListLease::trusted(connect),
+    }
+}
+
 /// A tenant's jobs of a class.
 pub(crate) type Lane = (Option<TenantId>, ClassId);
 
@@ -457,6 +468,8 @@
     pub(crate) seat: u64,
     /// When discovery is called.
     pub(crate) calls: Pace,
+    /// How long the list may be acted on.
+    pub(crate) lease: ListLease,
     /// The list is one of before and not confirmed yet, and that is to be minded.
     pub(crate) careful: bool,
     /// The quickest start of a job in each zone.
@@ -513,6 +526,7 @@
             best_success: 1.0,
             seat: seat(set.me, set.fleet_size),
             calls: Pace::new(set.list_call),
+            lease: lease(&set),
             // Where nobody is asked, nobody ever confirms.
             careful: set.careful && set.must_watch,
             quickest: BTreeMap::new(),
@@ -525,20 +539,39 @@
     pub(crate) fn listed(&mut self, event: &Event, out: &mut Vec<Action>) {
         match event {
             Event::Fleet { mode, entries } => {
-                // News by hand are no answer of discovery.
-                let answered = mode.tells() && self.calls.answered(self.now);
-                if answered && std::mem::take(&mut self.careful) {
-                    // Who is in doubt only for the age of the list is so no longer.
-                    let new = |w: &&mut Worker| w.doubt_pause == 0;
-                    self.workers.iter_mut().filter(new).for_each(|w| (w.doubt, w.news) = (None, true));
+                if *mode != ListMode::Known {
+                    self.heard_of_discovery();
                 }
                 self.heed(*mode, entries, out);
             }
+            Event::WatchEnded(end) => self.watch_ended(*end, out),
+            Event::ListMoved(at) => self.lease.moved(*at),
             Event::Suspend { worker, out: by_hand } => self.suspend(*worker, *by_hand, out),
             _ => {}
         }
     }
 
+    fn heard_of_discovery(&mut self) {
+        self.lease.renewed();
+        if self.calls.answered(self.now) && std::mem::take(&mut self.careful) {
+            // Who is in doubt only for the age of the list is so no longer.
+            let new = |w: &&mut Worker| w.doubt_pause == 0;
+            self.workers.iter_mut().filter(new).for_each(|w| (w.doubt, w.news) = (None, true));
+        }
+    }
+
+    /// Asks anew, more slowly so as not to crowd discovery, but within the time that binds us.
+    fn watch_ended(&mut self, end: WatchEnd, out: &mut Vec<Action>) {
+        let after = self.calls.ended(self.now, self.set.round(), self.rng.rand_float(), end);
+        self.lease.watch_ended(end, self.now + after);
+        out.push(Action::Timer { after, token: WATCH_TOKEN });
+    }
+
+    /// Whether the list of workers may be acted on: nothing is sent while it may not.
+    pub fn list_holds(&self) -> bool {
+        self.lease.holds(self.now)
+    }
+
     /// Reads lines of the list through the workers out by hand: those are draining, whatever the list says.
     fn heed(&mut self, mode: ListMode, entries: &[FleetEntry], out: &mut Vec<Action>) {
         if self.suspended.is_empty() {
