--- a/crates/peers/src/codec.rs
+++ b/crates/peers/src/codec.rs
@@ -1,7 +1,7 @@
-//! Packets and frames in bytes, and the membership library's own parts of a packet.
+//! Encoding of packets and frames, and of foca's messages within them.
 
 use crate::member::Member;
-use crate::wire::{self, Body, FORMAT, Frame, Packet, Said};
+use crate::wire::{self, FORMAT, Frame, FrameBody, Packet, PacketBody};
 use bytes::{Buf, BufMut};
 use foca::{Header, Message, State};
 use prost::Message as _;
@@ -9,16 +9,16 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 /// Longest datagram, in bytes.
-pub const PACKET: usize = 1400;
-/// What is kept of that for what stands around the membership library's part.
-pub const AROUND: usize = 24;
+pub const MAX_DATAGRAM: usize = 1400;
+/// Bytes of it that are reserved for the envelope of a SWIM message.
+pub const ENVELOPE_BYTES: usize = 24;
 /// Longest frame.
-pub const FRAME: usize = 1 << 20;
+pub const MAX_FRAME: usize = 1 << 20;
 
-/// Why something was not taken.
+/// Why a datagram or frame was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Foreign {
-    /// It makes no sense.
+pub enum Rejected {
+    /// It is malformed.
     Garbage,
     /// It is of another format.
     Format,
@@ -27,43 +27,43 @@
 }
 
 /// The hash that stands for a cluster's name.
-pub fn cluster(name: &str) -> u64 {
+pub fn cluster_hash(name: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(name.as_bytes())
 }
 
-/// A datagram's bytes.
-pub fn packet(cluster: u64, body: Body) -> Vec<u8> {
+/// Encodes a datagram.
+pub fn encode_packet(cluster: u64, body: PacketBody) -> Vec<u8> {
     Packet { format: FORMAT, cluster, body: Some(body) }.encode_to_vec()
 }
 
-/// What a datagram says to this cluster.
-pub fn read_packet(cluster: u64, bytes: &[u8]) -> Result<Body, Foreign> {
-    if bytes.len() > PACKET {
-        return Err(Foreign::Garbage);
+/// Decodes a datagram of this cluster.
+pub fn decode_packet(cluster: u64, bytes: &[u8]) -> Result<PacketBody, Rejected> {
+    if bytes.len() > MAX_DATAGRAM {
+        return Err(Rejected::Garbage);
     }
-    let packet = Packet::decode(bytes).map_err(|_| Foreign::Garbage)?;
+    let packet = Packet::decode(bytes).map_err(|_| Rejected::Garbage)?;
     check(cluster, packet.format, packet.cluster)?;
-    packet.body.ok_or(Foreign::Garbage)
+    packet.body.ok_or(Rejected::Garbage)
 }
 
-/// A frame's bytes, behind their length.
-pub fn frame(cluster: u64, from: &Member, body: Said) -> Vec<u8> {
-    let frame = Frame { format: FORMAT, cluster, from: Some(from.written()), body: Some(body) };
+/// Encodes a frame, behind its length in four bytes.
+pub fn encode_frame(cluster: u64, from: &Member, body: FrameBody) -> Vec<u8> {
+    let frame = Frame { format: FORMAT, cluster, from: Some(from.to_wire()), body: Some(body) };
     let mut bytes = Vec::with_capacity(frame.encoded_len() + 4);
     bytes.put_u32(frame.encoded_len() as u32);
     frame.encode_raw(&mut bytes);
     bytes
 }
 
-/// What a frame says, without its length, and who sends it.
-pub fn read_frame(cluster: u64, bytes: &[u8]) -> Result<(Member, Said), Foreign> {
-    if bytes.len() > FRAME {
-        return Err(Foreign::Garbage);
+/// Decodes a frame without its length: its sender and its body.
+pub fn decode_frame(cluster: u64, bytes: &[u8]) -> Result<(Member, FrameBody), Rejected> {
+    if bytes.len() > MAX_FRAME {
+        return Err(Rejected::Garbage);
     }
-    let frame = Frame::decode(bytes).map_err(|_| Foreign::Garbage)?;
+    let frame = Frame::decode(bytes).map_err(|_| Rejected::Garbage)?;
     check(cluster, frame.format, frame.cluster)?;
-    let from = frame.from.as_ref().and_then(Member::read).ok_or(Foreign::Garbage)?;
-    Ok((from, frame.body.ok_or(Foreign::Garbage)?))
+    let from = frame.from.as_ref().and_then(Member::from_wire).ok_or(Rejected::Garbage)?;
+    Ok((from, frame.body.ok_or(Rejected::Garbage)?))
 }
 
 /// The name of who sends a frame, of whatever cluster, for who stands between.
@@ -71,68 +71,68 @@
     Frame::decode(bytes).ok()?.from.map(|from| from.name)
 }
 
-fn check(ours: u64, format: u32, theirs: u64) -> Result<(), Foreign> {
+fn check(ours: u64, format: u32, theirs: u64) -> Result<(), Rejected> {
     match () {
-        () if format != FORMAT => Err(Foreign::Format),
-        () if theirs != ours => Err(Foreign::Cluster),
+        () if format != FORMAT => Err(Rejected::Format),
+        () if theirs != ours => Err(Rejected::Cluster),
         () => Ok(()),
     }
 }
 
-/// Kinds of headers that belong to probes.
-pub const PROBES: std::ops::RangeInclusive<u32> = 1..=6;
+/// Header kinds that belong to probes.
+pub const PROBE_KINDS: std::ops::RangeInclusive<u32> = 1..=6;
 
-/// What the codec saw pass.
+/// What the codec has observed of the messages that passed through it.
 #[derive(Debug, Default)]
-pub struct Seen {
+pub struct Observed {
     /// Direct probes sent.
     pub pings: AtomicU32,
-    /// Answers to them.
+    /// Acknowledgements of them received.
     pub acks: AtomicU32,
-    /// The latest life seen under one's own address.
-    pub life: AtomicU64,
-    /// The kind of header that was written last.
+    /// The latest generation seen under our own address.
+    pub generation: AtomicU64,
+    /// The kind of the header that was encoded last.
     pub kind: AtomicU32,
 }
 
-/// How the membership library's header and members are written.
+/// Encodes foca's headers and members.
 pub struct Codec {
-    /// One's own address.
+    /// Our own address.
     pub me: std::net::SocketAddr,
-    /// What passed.
-    pub seen: Arc<Seen>,
+    /// What it observes.
+    pub seen: Arc<Observed>,
 }
 
-/// It does not fit, or makes no sense.
+/// It does not fit, or is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bad;
+pub struct Malformed;
 
-impl std::fmt::Display for Bad {
+impl std::fmt::Display for Malformed {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("does not fit, or makes no sense")
     }
 }
 
-impl std::error::Error for Bad {}
+impl std::error::Error for Malformed {}
 
-fn put(message: &impl prost::Message, mut buf: impl BufMut) -> Result<(), Bad> {
-    message.encode_length_delimited(&mut buf).map_err(|_| Bad)
+fn write_delimited(message: &impl prost::Message, mut buf: impl BufMut) -> Result<(), Malformed> {
+    message.encode_length_delimited(&mut buf).map_err(|_| Malformed)
 }
 
-/// A member's state as it is written.
-pub fn written(member: &foca::Member<Member>) -> wire::MemberState {
+/// Encodes a member's state.
+pub fn state_to_wire(member: &foca::Member<Member>) -> wire::MemberState {
     let state = match member.state() {
         State::Alive => 1,
         State::Suspect => 2,
         State::Down => 3,
     };
     let incarnation = u32::from(member.incarnation());
-    wire::MemberState { member: Some(member.id().written()), incarnation, state }
+    wire::MemberState { member: Some(member.id().to_wire()), incarnation, state }
 }
 
-/// A member's state as it was written.
-pub fn read(state: &wire::MemberState) -> Option<foca::Member<Member>> {
-    let id = Member::read(state.member.as_ref()?)?;
+/// Decodes a member's state.
+pub fn state_from_wire(state: &wire::MemberState) -> Option<foca::Member<Member>> {
+    let id = Member::from_wire(state.member.as_ref()?)?;
     let how = match state.state {
         1 => State::Alive,
         2 => State::Suspect,
@@ -143,17 +143,17 @@
 }
 
 impl Codec {
-    fn note(&self, member: &Member) {
-        if member.at == self.me {
-            self.seen.life.fetch_max(member.life, Ordering::Relaxed);
+    fn note_generation(&self, member: &Member) {
+        if member.address == self.me {
+            self.seen.generation.fetch_max(member.generation, Ordering::Relaxed);
         }
     }
 }
 
 impl foca::Codec<Member> for Codec {
-    type Error = Bad;
+    type Error = Malformed;
 
-    fn encode_header(&mut self, header: &Header<Member>, buf: impl BufMut) -> Result<(), Bad> {
+    fn encode_header(&mut self, header: &Header<Member>, buf: impl BufMut) -> Result<(), Malformed> {
         let (kind, about, probe) = match &header.message {
             Message::Ping(n) => {
                 self.seen.pings.fetch_add(1, Ordering::Relaxed);
@@ -172,21 +172,21 @@
         };
         self.seen.kind.store(kind, Ordering::Relaxed);
         let header = wire::Header {
-            source: Some(header.src.written()),
+            source: Some(header.src.to_wire()),
             incarnation: u32::from(header.src_incarnation),
-            destination: Some(header.dst.written()),
+            destination: Some(header.dst.to_wire()),
             kind,
-            about: about.map(Member::written),
+            about: about.map(Member::to_wire),
             probe: u32::from(probe),
         };
-        put(&header, buf)
+        write_delimited(&header, buf)
     }
 
-    fn decode_header(&mut self, buf: impl Buf) -> Result<Header<Member>, Bad> {
-        let header = wire::Header::decode_length_delimited(buf).map_err(|_| Bad)?;
-        let member = |m: &Option<wire::Identity>| m.as_ref().and_then(Member::read).ok_or(Bad);
+    fn decode_header(&mut self, buf: impl Buf) -> Result<Header<Member>, Malformed> {
+        let header = wire::Header::decode_length_delimited(buf).map_err(|_| Malformed)?;
+        let member = |m: &Option<wire::Identity>| m.as_ref().and_then(Member::from_wire).ok_or(Malformed);
         let (src, dst) = (member(&header.source)?, member(&header.destination)?);
-        let probe = header.probe.try_into().map_err(|_| Bad)?;
+        let probe = header.probe.try_into().map_err(|_| Malformed)?;
         let about = || member(&header.about);
         let message = match header.kind {
             1 => Message::Ping(probe),
@@ -203,42 +203,42 @@
             9 => Message::Gossip,
             10 => Message::Broadcast,
             11 => Message::TurnUndead,
-            _ => return Err(Bad),
+            _ => return Err(Malformed),
         };
-        self.note(&dst);
-        let src_incarnation = u16::try_from(header.incarnation).map_err(|_| Bad)?;
+        self.note_generation(&dst);
+        let src_incarnation = u16::try_from(header.incarnation).map_err(|_| Malformed)?;
         Ok(Header { src, src_incarnation, dst, message })
     }
 
-    fn encode_member(&mut self, member: &foca::Member<Member>, buf: impl BufMut) -> Result<(), Bad> {
-        put(&written(member), buf)
+    fn encode_member(&mut self, member: &foca::Member<Member>, buf: impl BufMut) -> Result<(), Malformed> {
+        write_delimited(&state_to_wire(member), buf)
     }
 
-    fn decode_member(&mut self, buf: impl Buf) -> Result<foca::Member<Member>, Bad> {
-        let state = wire::MemberState::decode_length_delimited(buf).map_err(|_| Bad)?;
-        let member = read(&state).ok_or(Bad)?;
-        self.note(member.id());
+    fn decode_member(&mut self, buf: impl Buf) -> Result<foca::Member<Member>, Malformed> {
+        let state = wire::MemberState::decode_length_delimited(buf).map_err(|_| Malformed)?;
+        let member = state_from_wire(&state).ok_or(Malformed)?;
+        self.note_generation(member.id());
         Ok(member)
     }
 }
 
-/// Who sends the membership library's part of a packet, alive in an incarnation.
-pub fn source(swim: &[u8]) -> Option<wire::MemberState> {
+/// The sender of a SWIM message, as a member alive in its incarnation.
+pub fn sender_state(swim: &[u8]) -> Option<wire::MemberState> {
     let header = wire::Header::decode_length_delimited(swim).ok()?;
     Some(wire::MemberState { member: Some(header.source?), incarnation: header.incarnation, state: 1 })
 }
 
-/// The members that the membership library's part of a packet names, its sender first.
-pub fn named(swim: &[u8]) -> Option<Vec<Member>> {
+/// The members that a SWIM message names, its sender first.
+pub fn named_members(swim: &[u8]) -> Option<Vec<Member>> {
     let mut rest = swim;
     let header = wire::Header::decode_length_delimited(&mut rest).ok()?;
-    let mut named = vec![Member::read(header.source.as_ref()?)?];
+    let mut named = vec![Member::from_wire(header.source.as_ref()?)?];
     if rest.len() < 2 {
         return Some(named);
     }
     for _ in 0..rest.get_u16() {
         let state = wire::MemberState::decode_length_delimited(&mut rest).ok()?;
-        named.push(Member::read(state.member.as_ref()?)?);
+        named.push(Member::from_wire(state.member.as_ref()?)?);
     }
     Some(named)
 }
--- a/crates/peers/src/lists.rs
+++ b/crates/peers/src/lists.rs
@@ -27,20 +27,20 @@
 
 /// What to do.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Do {
+pub enum ListAction {
     /// Tell the decisions: complete or not, the lines, and how long ago the service spoke.
-    Tell(bool, Vec<Target>, Micros),
+    Update(bool, Vec<Target>, Micros),
     /// Pass on that there is a new version, with the change that leads to it if one does.
-    PassOn(Option<Change>),
+    Disseminate(Option<Change>),
     /// Fetch what follows from whoever said so.
-    Fetch,
+    Pull,
     /// Ask the service for the whole list: what is held does not go with what was heard.
-    AskAnew(Why),
+    Reload(ReloadReason),
 }
 
 /// Why the service is asked for the whole list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum ReloadReason {
     /// Two different lists of one version.
     Conflict,
     /// What is held came by members while the call was under way, and is later.
@@ -104,11 +104,11 @@
     }
 
     /// The service has said something on our own call or watch.
-    pub fn service(&mut self, now: Micros, news: News) -> Vec<Do> {
+    pub fn service(&mut self, now: Micros, news: News) -> Vec<ListAction> {
         if news.whole { self.service_whole(now, news) } else { self.service_change(now, news) }
     }
 
-    fn service_whole(&mut self, now: Micros, news: News) -> Vec<Do> {
+    fn service_whole(&mut self, now: Micros, news: News) -> Vec<ListAction> {
         let lines: BTreeMap<String, Target> =
             news.targets.iter().filter(|t| t.state != GONE).map(|t| (t.uid.clone(), t.clone())).collect();
         let digest = sum(lines.values());
@@ -118,7 +118,7 @@
                 let same = held.version.rev == news.rev && held.version.digest == digest;
                 let back = news.rev < held.version.rev || (news.rev == held.version.rev && !same);
                 if back && held.came >= news.asked {
-                    return vec![Do::AskAnew(Why::Overtaken)];
+                    return vec![ListAction::Reload(ReloadReason::Overtaken)];
                 }
                 // It answers later than we held more: it has begun again.
                 held.version.generation + u64::from(back)
@@ -129,20 +129,22 @@
         self.watch = Some(order(&version));
         let new = self.version() != Some(version);
         self.hold(version, lines, now, now);
-        let mut what = vec![Do::Tell(true, news.targets, 0)];
+        let mut what = vec![ListAction::Update(true, news.targets, 0)];
         if new {
             self.forget();
-            what.push(Do::PassOn(None));
+            what.push(ListAction::Disseminate(None));
         }
         what
     }
 
-    fn service_change(&mut self, now: Micros, news: News) -> Vec<Do> {
-        let Some((generation, told)) = self.watch else { return vec![Do::AskAnew(Why::Former)] };
-        let Some(held) = &mut self.held else { return vec![Do::AskAnew(Why::Former)] };
+    fn service_change(&mut self, now: Micros, news: News) -> Vec<ListAction> {
+        let Some((generation, told)) = self.watch else {
+            return vec![ListAction::Reload(ReloadReason::Former)];
+        };
+        let Some(held) = &mut self.held else { return vec![ListAction::Reload(ReloadReason::Former)] };
         if held.version.generation != generation {
             self.watch = None;
-            return vec![Do::AskAnew(Why::Former)];
+            return vec![ListAction::Reload(ReloadReason::Former)];
         }
         held.spoke = now;
         self.watch = Some((generation, told.max(news.rev)));
@@ -155,7 +157,7 @@
             Change { from: None, before: Some(before), after: Some(after), age_us: 0, targets: news.targets };
         let told = change.targets.clone();
         self.keep(change.clone());
-        vec![Do::Tell(false, told, 0), Do::PassOn(Some(change))]
+        vec![ListAction::Update(false, told, 0), ListAction::Disseminate(Some(change))]
     }
 
     /// Our own watch was opened after what is held, without a complete list: the service goes on from there.
@@ -180,8 +182,8 @@
     }
 
     /// A member has this version, and an asker's service spoke so long ago.
-    pub fn compare(&mut self, now: Micros, theirs: &Version, age: Micros) -> Vec<Do> {
-        let Some(held) = &mut self.held else { return vec![Do::Fetch] };
+    pub fn compare(&mut self, now: Micros, theirs: &Version, age: Micros) -> Vec<ListAction> {
+        let Some(held) = &mut self.held else { return vec![ListAction::Pull] };
         if *theirs == held.version {
             held.spoke = held.spoke.max(now - age);
             return Vec::new();
@@ -189,14 +191,14 @@
         if order(theirs) == order(&held.version) {
             return self.tear(order(theirs));
         }
-        if order(theirs) > order(&held.version) { vec![Do::Fetch] } else { Vec::new() }
+        if order(theirs) > order(&held.version) { vec![ListAction::Pull] } else { Vec::new() }
     }
 
-    fn tear(&mut self, version: (u64, u64)) -> Vec<Do> {
+    fn tear(&mut self, version: (u64, u64)) -> Vec<ListAction> {
         if self.torn.replace(version) == Some(version) {
             return Vec::new();
         }
-        vec![Do::AskAnew(Why::Conflict)]
+        vec![ListAction::Reload(ReloadReason::Conflict)]
     }
 
     /// Whether what is held may be passed on.
@@ -205,9 +207,9 @@
     }
 
     /// A member passes on a change.
-    pub fn change(&mut self, now: Micros, change: Change) -> Vec<Do> {
+    pub fn change(&mut self, now: Micros, change: Change) -> Vec<ListAction> {
         let (Some(before), Some(after)) = (change.before, change.after) else { return Vec::new() };
-        let (age, Some(held)) = (change.age_us as Micros, &self.held) else { return vec![Do::Fetch] };
+        let (age, Some(held)) = (change.age_us as Micros, &self.held) else { return vec![ListAction::Pull] };
         if order(&after) <= order(&held.version) || before != held.version {
             return self.compare(now, &after, age);
         }
@@ -216,11 +218,11 @@
         if reached != after {
             let (version, lines, spoke, came) = undo;
             self.held = Some(Held { version, lines, spoke, came });
-            return vec![Do::Fetch];
+            return vec![ListAction::Pull];
         }
         let change = Change { from: None, ..change };
         self.keep(change.clone());
-        vec![Do::Tell(false, change.targets.clone(), age), Do::PassOn(Some(change))]
+        vec![ListAction::Update(false, change.targets.clone(), age), ListAction::Disseminate(Some(change))]
     }
 
     /// The answer to what a member asks for: what follows on its version, or all.
@@ -242,7 +244,7 @@
     }
 
     /// A member's answer to what we asked for.
-    pub fn listed(&mut self, now: Micros, listing: Listing) -> Vec<Do> {
+    pub fn listed(&mut self, now: Micros, listing: Listing) -> Vec<ListAction> {
         let Some(after) = listing.after else { return Vec::new() };
         if let Some(before) = listing.before {
             let change = Change {
@@ -253,13 +255,13 @@
                 targets: listing.targets,
             };
             // What does not follow any more was overtaken: the next digest says so.
-            return self.change(now, change).into_iter().filter(|d| *d != Do::Fetch).collect();
+            return self.change(now, change).into_iter().filter(|d| *d != ListAction::Pull).collect();
         }
         let age = listing.age_us as Micros;
         if let Some(held) = &self.held
             && order(&after) <= order(&held.version)
         {
-            return self.compare(now, &after, age).into_iter().filter(|d| *d != Do::Fetch).collect();
+            return self.compare(now, &after, age).into_iter().filter(|d| *d != ListAction::Pull).collect();
         }
         let lines: BTreeMap<String, Target> =
             listing.targets.iter().filter(|t| t.state != GONE).map(|t| (t.uid.clone(), t.clone())).collect();
@@ -268,7 +270,7 @@
         }
         self.hold(after, lines, now - age, now);
         self.forget();
-        vec![Do::Tell(true, listing.targets, age), Do::PassOn(None)]
+        vec![ListAction::Update(true, listing.targets, age), ListAction::Disseminate(None)]
     }
 
     fn hold(&mut self, version: Version, lines: BTreeMap<String, Target>, spoke: Micros, now: Micros) {
--- /dev/null
+++ b/crates/peers/src/peers/host_list.rs
@@ -0,0 +1,124 @@
+//! The host list among the peers: changes by gossip, and anti-entropy by digests with a pull of what is missing.
+
+use super::api::Action;
+use super::{Peers, REQUEST_TIMEOUT};
+use crate::Micros;
+use crate::codec::{self, MAX_DATAGRAM};
+use crate::lists::{ListAction, ReloadReason};
+use crate::member::Member;
+use crate::wire::{self, Change, Digest, FrameBody, PacketBody};
+
+/// To how many members a change of the list is sent.
+const CHANGE_FANOUT: usize = 6;
+/// Most askers named in a digest.
+const MAX_ASKERS_IN_DIGEST: usize = 16;
+
+impl Peers {
+    /// Compares a member's digest with what is held here: pulls what is missing here, and answers with our digest where
+    /// ours is later.
+    pub(super) fn receive_digest(
+        &mut self,
+        now: Micros,
+        from: &Member,
+        digest: &Digest,
+        actions: &mut Vec<Action>,
+    ) {
+        for asker in digest.askers.iter().take(MAX_ASKERS_IN_DIGEST) {
+            // What others say of us is what we said ourselves.
+            if asker.name != self.me().name && asker.name.len() <= crate::member::MAX_NAME {
+                let age = i64::try_from(asker.age_us).unwrap_or(Micros::MAX / 2);
+                self.askers.said(&asker.name, asker.open, now.saturating_sub(age));
+            }
+        }
+        let age = i64::try_from(digest.age_us).unwrap_or(Micros::MAX / 2);
+        let ours = self.lists.version();
+        if let Some(theirs) = &digest.version {
+            let list_actions = self.lists.compare(now, theirs, age);
+            self.perform_list_actions(now, list_actions, Some(from), actions);
+        }
+        let sender_is_behind = match (&digest.version, &ours) {
+            (None, Some(_)) => true,
+            (Some(theirs), Some(ours)) => (theirs.generation, theirs.rev) < (ours.generation, ours.rev),
+            _ => false,
+        };
+        if sender_is_behind && !digest.answer {
+            self.send_digest(now, std::slice::from_ref(from), true, actions);
+        }
+    }
+
+    /// Sends the version that is held here, and who keeps a watch as far as known.
+    pub(super) fn send_digest(
+        &mut self,
+        now: Micros,
+        receivers: &[Member],
+        answer: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        if receivers.is_empty() {
+            return;
+        }
+        let age = |at: Micros| (now - at).max(0) as u64;
+        let mut askers: Vec<wire::Asker> = self
+            .askers
+            .known(now)
+            .map(|(name, open, at)| wire::Asker { name: name.to_owned(), open, age_us: age(at) })
+            .collect();
+        askers.sort_by_key(|a| a.age_us);
+        askers.truncate(MAX_ASKERS_IN_DIGEST);
+        let digest = Digest {
+            from: Some(self.me().to_wire()),
+            version: self.lists.version().filter(|_| self.lists.sound()),
+            age_us: self.lists.age(now).unwrap_or(0) as u64,
+            askers,
+            answer,
+        };
+        let packet = codec::encode_packet(self.cluster_hash, PacketBody::Digest(digest));
+        receivers.iter().for_each(|m| self.send(m.address, packet.clone(), actions));
+    }
+
+    /// Carries out what follows from news of the list that came from a member, or from the list service.
+    pub(super) fn perform_list_actions(
+        &mut self,
+        now: Micros,
+        list_actions: Vec<ListAction>,
+        from: Option<&Member>,
+        actions: &mut Vec<Action>,
+    ) {
+        for list_action in list_actions {
+            match list_action {
+                ListAction::Update(complete, targets, age) => {
+                    self.figures.versions += 1;
+                    self.figures.age = age;
+                    actions.push(Action::UpdateHosts(complete, targets, age));
+                }
+                ListAction::Disseminate(change) => self.disseminate(now, change, actions),
+                ListAction::Pull => {
+                    let may_pull = self.pull_in_flight.is_none_or(|(_, at)| now - at > REQUEST_TIMEOUT);
+                    if let Some(from) = from.filter(|_| may_pull) {
+                        self.pull_in_flight = Some((from.address, now));
+                        let version = self.lists.version().unwrap_or_default();
+                        self.request(from.address, FrameBody::Pull(version), actions);
+                    }
+                }
+                ListAction::Reload(why) => {
+                    self.figures.conflicts += u64::from(why == ReloadReason::Conflict);
+                    actions.push(Action::ReloadList(why));
+                }
+            }
+        }
+    }
+
+    /// Sends a change to some members; without one, or with one too long for a datagram, a digest.
+    pub(super) fn disseminate(&mut self, now: Micros, change: Option<Change>, actions: &mut Vec<Action>) {
+        let receivers = self.membership.sample(CHANGE_FANOUT);
+        let age_us = self.lists.age(now).unwrap_or(0) as u64;
+        let packet = change.map(|change| {
+            let change = Change { from: Some(self.me().to_wire()), age_us, ..change };
+            codec::encode_packet(self.cluster_hash, PacketBody::Change(change))
+        });
+        match packet.filter(|p| p.len() <= MAX_DATAGRAM) {
+            Some(packet) => receivers.iter().for_each(|m| self.send(m.address, packet.clone(), actions)),
+            None => self.send_digest(now, &receivers, false, actions),
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/peers/receive.rs
@@ -0,0 +1,138 @@
+//! Datagrams, requests and responses that come in, and those that go out.
+
+use super::Peers;
+use super::api::Action;
+use crate::Micros;
+use crate::codec::{self, Rejected};
+use crate::member::Member;
+use crate::membership;
+use crate::wire::{self, FrameBody, PacketBody};
+use std::net::SocketAddr;
+
+impl Peers {
+    /// Sends a datagram.
+    pub(super) fn send(&mut self, to: SocketAddr, packet: Vec<u8>, actions: &mut Vec<Action>) {
+        self.figures.sent.0 += 1;
+        self.figures.sent.1 += packet.len() as u64;
+        actions.push(Action::Send(to, packet));
+    }
+
+    /// Sends a request over TCP.
+    pub(super) fn request(&mut self, to: SocketAddr, body: FrameBody, actions: &mut Vec<Action>) {
+        self.figures.requests.0 += 1;
+        actions.push(Action::Request(to, codec::encode_frame(self.cluster_hash, self.membership.me(), body)));
+    }
+
+    fn count_rejected(&mut self, why: Rejected) {
+        let index = match why {
+            Rejected::Garbage => 0,
+            Rejected::Format => 1,
+            Rejected::Cluster => 2,
+        };
+        self.figures.dropped[index] += 1;
+    }
+
+    /// Takes in a datagram.
+    pub(super) fn receive_datagram(
+        &mut self,
+        now: Micros,
+        bytes: &[u8],
+        out: &mut membership::Output,
+        actions: &mut Vec<Action>,
+    ) {
+        self.figures.received.0 += 1;
+        self.figures.received.1 += bytes.len() as u64;
+        let body = match codec::decode_packet(self.cluster_hash, bytes) {
+            Ok(body) => body,
+            Err(why) => return self.count_rejected(why),
+        };
+        match body {
+            PacketBody::Swim(swim) => {
+                codec::sender_state(&swim)
+                    .into_iter()
+                    .for_each(|source| self.member_heard(now, source, actions));
+                if !self.membership.receive_swim(now, &swim, out) && codec::named_members(&swim).is_none() {
+                    self.count_rejected(Rejected::Garbage);
+                }
+            }
+            PacketBody::Suspected(word) => self.receive_suspicion(now, &word, out, actions),
+            PacketBody::Heard(state) => self.membership.confirm_alive(now, &state, out),
+            PacketBody::Leaving(who) => {
+                Member::from_wire(&who).into_iter().for_each(|m| self.membership.member_left(now, &m, out));
+            }
+            PacketBody::Digest(digest) => {
+                let Some(from) = digest.from.as_ref().and_then(Member::from_wire) else {
+                    return self.count_rejected(Rejected::Garbage);
+                };
+                self.membership.observe_alive(now, &from, out);
+                self.receive_digest(now, &from, &digest, actions);
+            }
+            PacketBody::Change(change) => {
+                let Some(from) = change.from.as_ref().and_then(Member::from_wire) else {
+                    return self.count_rejected(Rejected::Garbage);
+                };
+                self.membership.observe_alive(now, &from, out);
+                let list_actions = self.lists.change(now, change);
+                self.perform_list_actions(now, list_actions, Some(&from), actions);
+            }
+        }
+    }
+
+    /// Takes in the response to a request of ours; none: there was none in time.
+    pub(super) fn receive_response(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        response: Option<&[u8]>,
+        out: &mut membership::Output,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.pull_in_flight.is_some_and(|pull| pull.0 == from) {
+            self.pull_in_flight = None;
+        }
+        let Some(bytes) = response else {
+            self.figures.requests.1 += 1;
+            return;
+        };
+        match codec::decode_frame(self.cluster_hash, bytes) {
+            Ok((_, FrameBody::Members(members))) => self.membership.merge_states(now, &members, out),
+            Ok((sender, FrameBody::Listing(listing))) => {
+                let list_actions = self.lists.listed(now, listing);
+                self.perform_list_actions(now, list_actions, Some(&sender), actions);
+            }
+            Ok(_) => {}
+            Err(why) => self.count_rejected(why),
+        }
+    }
+
+    /// Answers a request over TCP. The request comes without its length prefix, the response has one.
+    pub fn handle_request(
+        &mut self,
+        now: Micros,
+        frame: &[u8],
+        actions: &mut Vec<Action>,
+    ) -> Option<Vec<u8>> {
+        let (from, body) = match codec::decode_frame(self.cluster_hash, frame) {
+            Ok(decoded) => decoded,
+            Err(why) => {
+                self.count_rejected(why);
+                return None;
+            }
+        };
+        let mut out = membership::Output::default();
+        let response = match body {
+            FrameBody::Members(members) => {
+                self.membership.merge_states(now, &members, &mut out);
+                FrameBody::Members(self.membership.export_states())
+            }
+            FrameBody::Pull(version) => {
+                let listing = self.lists.listing(now, &version);
+                listing.map_or(FrameBody::Nothing(wire::Nothing {}), FrameBody::Listing)
+            }
+            FrameBody::Listing(_) | FrameBody::Nothing(_) => FrameBody::Nothing(wire::Nothing {}),
+        };
+        self.membership.observe_alive(now, &from, &mut out);
+        self.apply_membership(now, out, actions);
+        Some(codec::encode_frame(self.cluster_hash, self.membership.me(), response))
+    }
+}
--- /dev/null
+++ b/crates/peers/src/peers/status.rs
@@ -0,0 +1,89 @@
+//! What one dispatcher knows of its peers, for staff and for who drives it.
+
+use super::{Figures, Peers, Standing, WatchMode};
+use crate::Micros;
+use crate::count::Fleet;
+use crate::member::Member;
+use crate::membership::Counts;
+use crate::wire::Version;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+impl Peers {
+    /// This member.
+    pub fn me(&self) -> &Member {
+        self.membership.me()
+    }
+
+    /// The other members by state.
+    pub fn counts(&self) -> Counts {
+        self.membership.counts()
+    }
+
+    /// The figures.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// The version of the host list that is held, how many hosts it has, and how long ago the service spoke.
+    pub fn list(&self, now: Micros) -> Option<(Version, usize, Micros)> {
+        Some((self.lists.version()?, self.lists.hosts(), self.lists.age(now)?))
+    }
+
+    /// How many dispatchers the decisions were told of last.
+    pub fn fleet(&self) -> Fleet {
+        self.fleet
+    }
+
+    /// Whether our watch is open, and whether it is to be.
+    pub fn watch(&self) -> (bool, WatchMode) {
+        (self.lists.watches(), self.watch_mode)
+    }
+
+    /// Names of the members whose watch is open, as far as known.
+    pub fn askers(&self, now: Micros) -> Vec<String> {
+        self.askers.known(now).filter(|a| a.1).map(|a| a.0.to_owned()).collect()
+    }
+
+    /// Whether a live member is at an address.
+    pub fn is_live(&self, at: SocketAddr) -> bool {
+        self.membership.live().iter().any(|m| m.address == at)
+    }
+
+    /// The other live members.
+    pub fn live(&self) -> &[Member] {
+        self.membership.live()
+    }
+
+    /// How long a suspect has to refute, as it is now.
+    pub fn suspicion_timeout(&self) -> Micros {
+        self.membership.suspicion_timeout()
+    }
+
+    /// All members with their states, sorted by name.
+    pub fn standings(&self, now: Micros) -> Vec<Standing> {
+        let watching: BTreeSet<&str> = self.askers.known(now).filter(|a| a.1).map(|a| a.0).collect();
+        let of = |m: &Member, state| Standing {
+            member: m.clone(),
+            state,
+            watches: watching.contains(m.name.as_str()),
+        };
+        let others = self.membership.states().map(|m| {
+            let state = match m.state() {
+                foca::State::Alive => "alive",
+                foca::State::Suspect => "suspect",
+                foca::State::Down => "down",
+            };
+            of(m.id(), state)
+        });
+        let mut all: Vec<Standing> = others.chain([of(self.me(), "alive")]).collect();
+        all.sort_by(|a, b| a.member.name.cmp(&b.member.name));
+        all
+    }
+
+    /// The generation, renewal and incarnation in which each other member that is not down is known.
+    pub fn incarnations(&self) -> impl Iterator<Item = (SocketAddr, (u64, u32, u16))> {
+        let up = self.membership.states().filter(|m| m.state() != foca::State::Down);
+        up.map(|m| (m.id().address, (m.id().generation, m.id().renewal, m.incarnation())))
+    }
+}
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -15,13 +15,13 @@
     #[prost(fixed64, tag = "2")]
     pub cluster: u64,
     /// What it says.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8")]
-    pub body: Option<Body>,
+    #[prost(oneof = "PacketBody", tags = "3, 4, 5, 6, 7, 8")]
+    pub body: Option<PacketBody>,
 }
 
 /// What a datagram says.
 #[derive(Clone, PartialEq, Oneof)]
-pub enum Body {
+pub enum PacketBody {
     /// Of the membership library.
     #[prost(bytes = "vec", tag = "3")]
     Swim(Vec<u8>),
@@ -56,10 +56,10 @@
     pub port: u32,
     /// When its process started, in milliseconds since 1970.
     #[prost(fixed64, tag = "4")]
-    pub life: u64,
+    pub generation: u64,
     /// How often it renewed itself.
     #[prost(uint32, tag = "5")]
-    pub turn: u32,
+    pub renewal: u32,
     /// Its zone.
     #[prost(string, tag = "6")]
     pub zone: String,
@@ -249,13 +249,13 @@
     #[prost(message, optional, tag = "3")]
     pub from: Option<Identity>,
     /// What it says.
-    #[prost(oneof = "Said", tags = "4, 5, 6, 7")]
-    pub body: Option<Said>,
+    #[prost(oneof = "FrameBody", tags = "4, 5, 6, 7")]
+    pub body: Option<FrameBody>,
 }
 
 /// What a frame says.
 #[derive(Clone, PartialEq, Oneof)]
-pub enum Said {
+pub enum FrameBody {
     /// All members that the sender knows; the same comes back.
     #[prost(message, tag = "4")]
     Members(Members),
