--- a/crates/backlog/src/function.rs
+++ b/crates/backlog/src/function.rs
@@ -1,15 +1,15 @@
 //! One function's queues, and how many of its jobs the decisions are given at a time.
 
 use crate::Micros;
-use crate::job::Entry;
+use crate::job::QueueEntry;
 use std::collections::VecDeque;
 
 /// How many jobs of a function the decisions have at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Window {
-    /// As many as its workers could take within this aim.
+    /// As many as its workers can take within an aim.
     Workers {
-        /// The aim of its class.
+        /// The aim of the function's class.
         aim: Micros,
     },
     /// So many.
@@ -20,19 +20,19 @@
 
 /// A function's settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Function {
+pub struct FunctionSettings {
     /// Foreground jobs wait too; else a refusal is their last word.
     pub queued: bool,
     /// Most that wait, by priority.
     pub max_queue: [usize; 3],
     /// How long a foreground job waits.
-    pub wait: Micros,
-    /// How long a background job waits, from its creation or its set time.
-    pub background: Micros,
-    /// How long one turn with the decisions may take, of a foreground and of a background job.
-    pub run: [Micros; 2],
+    pub max_wait: Micros,
+    /// How long a background job waits, from its submission or its scheduled time.
+    pub max_wait_background: Micros,
+    /// How long the decisions may take for one release, of a foreground and of a background job.
+    pub run_timeout: [Micros; 2],
     /// Most attempts that may have run.
-    pub attempts: u32,
+    pub max_attempts: u32,
     /// How many the decisions have at a time.
     pub window: Window,
 }
@@ -40,15 +40,15 @@
 /// A function's figures.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
-    /// Jobs that wait, by priority; those with a set time that has not come are not among them.
+    /// Queued jobs by priority, without scheduled ones.
     pub queued: [usize; 3],
-    /// Jobs whose set time has not come.
-    pub set: usize,
-    /// Jobs that the decisions have.
-    pub out: usize,
+    /// Scheduled jobs.
+    pub scheduled: usize,
+    /// Released jobs.
+    pub released: usize,
     /// Of those, jobs that a worker has.
     pub running: usize,
-    /// Workers that take it.
+    /// Workers that take this function.
     pub able: usize,
     /// It is not taken any more.
     pub closed: bool,
@@ -57,75 +57,82 @@
 impl Counts {
     /// All of its jobs.
     pub fn jobs(&self) -> usize {
-        self.queued.iter().sum::<usize>() + self.set + self.out
+        self.queued.iter().sum::<usize>() + self.scheduled + self.released
     }
     /// Whether a job waits for a worker, here or with the decisions.
     pub fn wants_workers(&self) -> bool {
-        self.out > self.running || self.queued.iter().any(|n| *n > 0)
+        self.released > self.running || self.queued.iter().any(|n| *n > 0)
     }
 }
 
-pub(crate) struct Queues {
-    pub set: Function,
-    pub lines: [VecDeque<Entry>; 3],
+/// One function's settings, queues and workers.
+pub(crate) struct FunctionQueues {
+    pub settings: FunctionSettings,
+    /// Queue entries by priority, stale ones included.
+    pub entries: [VecDeque<QueueEntry>; 3],
     pub queued: [usize; 3],
-    pub set_waiting: [usize; 3],
-    pub out: usize,
+    pub scheduled: [usize; 3],
+    pub released: usize,
     pub running: usize,
+    /// Workers that take this function; those of them that are free; those that have a job of it.
     pub able: usize,
     pub free: usize,
     pub engaged: usize,
     pub closed: bool,
-    /// After refusals it rests.
-    pub rest: Micros,
-    pub rest_until: Micros,
-    /// Releases so far, for turns among functions.
-    pub served: u64,
-    /// Mean span of a run; 0 before the first.
-    mean: f64,
+    /// After a refusal nothing is released for this long, until then.
+    pub backoff: Micros,
+    pub backoff_until: Micros,
+    /// Releases so far, for fairness among functions; raised to the virtual time after an absence.
+    pub service: u64,
+    /// Moving average of the time that a run takes; 0 before the first.
+    mean_run: f64,
 }
 
-/// Weight of a new run in the mean.
-const NEW: f64 = 0.1;
+/// Weight of a new run in the moving average.
+const MEAN_WEIGHT: f64 = 0.1;
 
-impl Queues {
-    pub fn new(set: Function) -> Queues {
-        Queues {
-            set,
-            lines: Default::default(),
+impl FunctionQueues {
+    pub fn new(settings: FunctionSettings) -> FunctionQueues {
+        FunctionQueues {
+            settings,
+            entries: Default::default(),
             queued: [0; 3],
-            set_waiting: [0; 3],
-            out: 0,
+            scheduled: [0; 3],
+            released: 0,
             running: 0,
             able: 0,
             free: 0,
             engaged: 0,
             closed: false,
-            rest: 0,
-            rest_until: 0,
-            served: 0,
-            mean: 0.0,
+            backoff: 0,
+            backoff_until: 0,
+            service: 0,
+            mean_run: 0.0,
         }
     }
 
+    /// Jobs of a priority that count towards its bound.
     pub fn waiting(&self, priority: usize) -> usize {
-        self.queued[priority] + self.set_waiting[priority]
+        self.queued[priority] + self.scheduled[priority]
     }
 
-    pub fn took(&mut self, span: Micros) {
+    /// Takes a run of this length into the average.
+    pub fn record_run(&mut self, span: Micros) {
         let span = span.max(1) as f64;
-        self.mean = if self.mean == 0.0 { span } else { self.mean + NEW * (span - self.mean) };
+        self.mean_run =
+            if self.mean_run == 0.0 { span } else { self.mean_run + MEAN_WEIGHT * (span - self.mean_run) };
     }
 
-    /// Most jobs that the decisions are given: one for each worker that is free or has one, and as many again as the
+    /// Most jobs that are released at a time: one for each worker that is free or has one, and as many again as the
     /// busy ones will be free for within half of the aim, a second one each at most. The other half is for the run.
     pub fn window(&self) -> usize {
-        match self.set.window {
+        match self.settings.window {
             Window::Unlimited => usize::MAX,
             Window::Fixed(n) => n,
             Window::Workers { aim } => {
-                let turns = if self.mean > 0.0 { (aim as f64 / 2.0 / self.mean).min(1.0) } else { 0.0 };
-                self.free + self.engaged + (self.engaged as f64 * turns) as usize
+                let ahead =
+                    if self.mean_run > 0.0 { (aim as f64 / 2.0 / self.mean_run).min(1.0) } else { 0.0 };
+                self.free + self.engaged + (self.engaged as f64 * ahead) as usize
             }
         }
     }
@@ -133,19 +140,19 @@
     pub fn counts(&self) -> Counts {
         Counts {
             queued: self.queued,
-            set: self.set_waiting.iter().sum(),
-            out: self.out,
+            scheduled: self.scheduled.iter().sum(),
+            released: self.released,
             running: self.running,
             able: self.able,
             closed: self.closed,
         }
     }
 
-    /// Drops places that were left behind once they are most of the lines.
-    pub fn sweep(&mut self, live: impl Fn(&Entry) -> bool) {
-        let places: usize = self.lines.iter().map(VecDeque::len).sum();
-        if places > 64 && places > 2 * self.queued.iter().sum::<usize>() {
-            self.lines.iter_mut().for_each(|line| line.retain(&live));
+    /// Drops stale entries once they are most of the queues.
+    pub fn sweep(&mut self, live: impl Fn(&QueueEntry) -> bool) {
+        let entries: usize = self.entries.iter().map(VecDeque::len).sum();
+        if entries > 64 && entries > 2 * self.queued.iter().sum::<usize>() {
+            self.entries.iter_mut().for_each(|queue| queue.retain(&live));
         }
     }
 }
--- /dev/null
+++ b/crates/backlog/src/submit.rs
@@ -0,0 +1,121 @@
+//! How jobs come in: as new ones, or joined to the one with the same unique id.
+
+use crate::job::{Job, NewJob, State, Waiter};
+use crate::{Backlog, JOB_BYTES, JobNo, MAX_WAITERS, Micros, Rejection};
+use std::sync::Arc;
+
+impl<W, P> Backlog<W, P> {
+    /// Whether a job would be accepted.
+    ///
+    /// # Errors
+    /// Why it would be rejected.
+    pub fn check_room(&self, function: usize, priority: usize, bytes: usize) -> Result<(), Rejection> {
+        let queues = &self.functions[function];
+        if queues.closed {
+            Err(Rejection::Closed)
+        } else if queues.waiting(priority) >= queues.settings.max_queue[priority] {
+            Err(Rejection::Queue)
+        } else if self.jobs.len() >= self.bounds.jobs {
+            Err(Rejection::Jobs)
+        } else if self.bytes + bytes + JOB_BYTES > self.bounds.bytes {
+            Err(Rejection::Bytes)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Accepts a new job. One with the unique id of another must be [joined](Self::join) to that instead.
+    ///
+    /// # Errors
+    /// Why it is rejected.
+    pub fn submit(&mut self, new: NewJob<W, P>, now: Micros) -> Result<JobNo, Rejection> {
+        self.check_room(new.function, new.priority, new.bytes)?;
+        let no = self.next_no;
+        self.next_no += 1;
+        let settings = &self.functions[new.function].settings;
+        let unique: Arc<[u8]> = Arc::from(new.unique);
+        let wait_deadline =
+            now + if new.background { settings.max_wait_background } else { settings.max_wait };
+        let mut job = Job {
+            function: new.function,
+            priority: new.priority,
+            unique: unique.clone(),
+            background: new.background,
+            waiters: Vec::new(),
+            state: State::Scheduled,
+            came: now,
+            wait_deadline,
+            attempts: 0,
+            releases: 0,
+            entry_version: 0,
+            bytes: new.bytes + JOB_BYTES,
+            running: false,
+            progress: (0, 0),
+            exception: None,
+            failed: false,
+            payload: new.payload,
+        };
+        self.bytes += job.bytes;
+        if !unique.is_empty() {
+            let other = self.by_unique.insert((new.function, unique), no);
+            debug_assert!(other.is_none(), "a unique id names one job");
+        }
+        if let Some(waiter) = new.waiter {
+            self.by_client.entry(waiter.client).or_default().insert(no);
+            job.waiters.push(waiter);
+        }
+        match new.not_before {
+            Some(at) => {
+                // It waits from that time on: see `tick`. Until then its deadline is that time.
+                job.wait_deadline = at;
+                self.functions[job.function].scheduled[job.priority] += 1;
+                self.scheduled.insert((at, no));
+                self.jobs.insert(no, job);
+            }
+            None => {
+                self.wait_deadlines.insert((wait_deadline, no));
+                self.jobs.insert(no, job);
+                self.enqueue(no, false);
+            }
+        }
+        Ok(no)
+    }
+
+    /// Joins another submission of the same function and unique id to the job that is there: that takes the higher of
+    /// the priorities, and stays when its clients leave if either is a background job.
+    ///
+    /// # Errors
+    /// Where too many wait for it.
+    pub fn join(
+        &mut self,
+        no: JobNo,
+        priority: usize,
+        background: bool,
+        waiter: Option<Waiter<W>>,
+    ) -> Result<(), Rejection> {
+        let Some(job) = self.jobs.get_mut(&no) else { return Err(Rejection::Closed) };
+        if waiter.is_some() && job.waiters.len() >= MAX_WAITERS {
+            return Err(Rejection::Waiters);
+        }
+        if let Some(waiter) = waiter {
+            self.by_client.entry(waiter.client).or_default().insert(no);
+            job.waiters.push(waiter);
+        }
+        let queues = &mut self.functions[job.function];
+        let was_background = job.background;
+        job.background |= background;
+        if background && !was_background && job.state != State::Scheduled {
+            let wait_deadline = job.came + queues.settings.max_wait_background;
+            if self.wait_deadlines.remove(&(job.wait_deadline, no)) {
+                self.wait_deadlines.insert((wait_deadline.max(job.wait_deadline), no));
+            }
+            job.wait_deadline = wait_deadline.max(job.wait_deadline);
+        }
+        if priority < job.priority && job.state == State::Queued {
+            queues.queued[job.priority] -= 1;
+            job.priority = priority;
+            self.enqueue(no, false);
+        }
+        Ok(())
+    }
+}
--- a/dispatcher/src/wire/gearman/admin.rs
+++ b/dispatcher/src/wire/gearman/admin.rs
@@ -1,7 +1,7 @@
 //! The administrators' lines.
 
 use super::{Gearman, Peer, lock};
-use roselock_backlog::{Cancel, State};
+use roselock_backlog::{Cancellation, State};
 use std::fmt::Write;
 use std::sync::atomic::Ordering;
 
@@ -104,8 +104,9 @@
     let mut lines = String::new();
     for (no, job) in all.into_iter().take(JOBS) {
         let flag = |on: bool| on as u8;
-        let (set, queued) = (flag(job.state == State::Set), flag(job.state == State::Queued));
-        let _ = writeln!(lines, "{}\t{}\t{set}\t{queued}\t{}", front.handle(no), job.ran, flag(job.running));
+        let (set, queued) = (flag(job.state == State::Scheduled), flag(job.state == State::Queued));
+        let _ =
+            writeln!(lines, "{}\t{}\t{set}\t{queued}\t{}", front.handle(no), job.attempts, flag(job.running));
     }
     lines + ".\n"
 }
@@ -143,14 +144,14 @@
     let cancelled = {
         let mut jobs = lock(&front.jobs);
         let cancelled = jobs.backlog.cancel(no);
-        if let Cancel::Done(ended, _) = &cancelled {
+        if let Cancellation::Cancelled(ended, _) = &cancelled {
             jobs.ends.cancelled += 1;
             jobs.ends.lost += (ended.background && ended.waiters.is_empty()) as u64;
         }
         cancelled
     };
     match cancelled {
-        Cancel::Done(ended, stream) => {
+        Cancellation::Cancelled(ended, stream) => {
             front.last_words(&ended, b"cancelled");
             if ended.background {
                 front.log_lost(&ended, "cancelled by an administrator");
@@ -158,8 +159,8 @@
             stream.into_iter().for_each(|s| front.inbox.post(crate::memory::Input::Left(s)));
             "OK\n".into()
         }
-        Cancel::Runs => err("JOB_RUNS", "a worker has it, or may have had it"),
-        Cancel::Unknown => err("NOT_FOUND", "no such job"),
+        Cancellation::Running => err("JOB_RUNS", "a worker has it, or may have had it"),
+        Cancellation::Unknown => err("NOT_FOUND", "no such job"),
     }
 }
 
@@ -183,7 +184,7 @@
     match front.function_for(name.as_bytes()) {
         Some(f) => {
             let queue = front.functions().all[f].queue.clone();
-            lock(&front.jobs).backlog.retell(f, queue);
+            lock(&front.jobs).backlog.reconfigure(f, queue);
             "OK\n".into()
         }
         None => err("UNKNOWN_FUNCTION", "the operators' file neither names it nor has a default entry"),
--- a/dispatcher/src/wire/gearman/connection.rs
+++ b/dispatcher/src/wire/gearman/connection.rs
@@ -69,7 +69,8 @@
     let mut stranger = Some(front.table.spare(Rank::Stranger, socket));
     let mut whole_by = 0;
     loop {
-        let engaged = lock(&peer.worker).is_worker() || lock(&front.jobs).backlog.waits(peer.number) > 0;
+        let engaged =
+            lock(&peer.worker).is_worker() || lock(&front.jobs).backlog.jobs_awaited_by(peer.number) > 0;
         let inside = decoder.is_inside();
         let idle = (stranger.is_none() && !engaged && !inside).then(|| front.table.spare(Rank::Idle, socket));
         let until = match (&stranger, inside) {
--- a/dispatcher/src/wire/gearman/file.rs
+++ b/dispatcher/src/wire/gearman/file.rs
@@ -4,7 +4,7 @@
 use crate::memory::FleetId;
 use roselock::settings::Site;
 use roselock::{ClassId, Effect, Micros, SECOND, Settings, TenantId};
-use roselock_backlog::{Bounds, Function as Queue, Window};
+use roselock_backlog::{Bounds, FunctionSettings, Window};
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -154,7 +154,7 @@
     /// Its fleet.
     pub fleet: FleetId,
     /// How its jobs wait.
-    pub queue: Queue,
+    pub queue: FunctionSettings,
 }
 
 impl Function {
@@ -246,7 +246,7 @@
 pub fn figures(file: &File, bytes: usize) -> Result<Figures, Problem> {
     let zone = match &file.timezone {
         None => jiff::tz::TimeZone::UTC,
-        Some(name) => roselock_backlog::zone(name.get_ref())
+        Some(name) => roselock_backlog::time_zone(name.get_ref())
             .map_err(|e| Problem::new(name.span(), "timezone", e, "a name such as UTC or Europe/Madrid"))?,
     };
     if file.max_functions == 0 || file.max_functions < file.function.len() {
@@ -319,13 +319,13 @@
     };
     let set = &site.settings;
     let aims = classes.map(|c| set.classes[c.0 as usize].promise);
-    let queue = Queue {
+    let queue = FunctionSettings {
         queued: entry.queue,
         max_queue: entry.max_queue.map_or([MAX_QUEUE; 3], MaxQueue::each),
-        wait: micros(span("wait_s", &entry.wait_s, 600.0, 0.001, LONGEST_WAIT)?),
-        background: micros(background_s),
-        run: [micros(deadline), micros(run)],
-        attempts: set.limits.send_cap.min(4),
+        max_wait: micros(span("wait_s", &entry.wait_s, 600.0, 0.001, LONGEST_WAIT)?),
+        max_wait_background: micros(background_s),
+        run_timeout: [micros(deadline), micros(run)],
+        max_attempts: set.limits.send_cap.min(4),
         window: match (&path, entry.queue) {
             (_, false) => Window::Unlimited,
             (Some(_), true) => Window::Fixed(HTTP_WINDOW),
--- a/dispatcher/src/wire/gearman/jobs.rs
+++ b/dispatcher/src/wire/gearman/jobs.rs
@@ -3,7 +3,7 @@
 use super::{Gearman, Jobs, Peer, Tail, error, lock, reply};
 use crate::memory::{Answer, Downstream, Feed, Input, NewStream, Payload, Saying, StreamId, clock};
 use roselock::{Micros, SECOND};
-use roselock_backlog::{Ended, Ending, Fate, Full, Job, JobNo, New, State, Waiter};
+use roselock_backlog::{Completion, EndedJob, Ending, Job, JobNo, NewJob, Rejection, State, Waiter};
 use roselock_gearman::{Kind, Packet, Submission, When, submit::Invalid};
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -48,9 +48,9 @@
     lock(&front.jobs).backlog.bytes() + size <= front.figures.bounds.bytes
 }
 
-fn turned_away(full: Full) -> Vec<u8> {
-    let code = if full == Full::Closed { "UNKNOWN_FUNCTION" } else { "QUEUE_FULL" };
-    error(code, full.text())
+fn rejected(why: Rejection) -> Vec<u8> {
+    let code = if why == Rejection::Closed { "UNKNOWN_FUNCTION" } else { "QUEUE_FULL" };
+    error(code, why.text())
 }
 
 /// Where a part of the data lies in it.
@@ -101,7 +101,7 @@
     // Who joins needs no data: look before the data is laid out.
     let join = |jobs: &mut Jobs, no: JobNo| match jobs.backlog.join(no, priority, background, waiter.clone())
     {
-        Err(full) => Some(turned_away(full)),
+        Err(why) => Some(rejected(why)),
         Ok(()) => {
             peer.send(reply(Kind::JobCreated, &[front.handle(no).as_bytes()]));
             None
@@ -112,15 +112,15 @@
         if let Some(no) = jobs.backlog.by_unique(f, unique) {
             return join(&mut jobs, no);
         }
-        if let Err(full) = jobs.backlog.has_room(f, priority, data.len()) {
-            return Some(turned_away(full));
+        if let Err(why) = jobs.backlog.check_room(f, priority, data.len()) {
+            return Some(rejected(why));
         }
     }
     let own = unique.to_vec();
     let ranges = [job.function, unique, job.reducer.unwrap_or(b""), job.data]
         .map(|part| if part.is_empty() { 0..0 } else { lies(part, &data) });
     let payload = Arc::new(payload(front, f, data, ranges));
-    let new = New {
+    let new = NewJob {
         function: f,
         priority,
         unique: own,
@@ -136,7 +136,7 @@
         return join(&mut jobs, no);
     }
     match jobs.backlog.submit(new, clock::now()) {
-        Err(full) => Some(turned_away(full)),
+        Err(why) => Some(rejected(why)),
         Ok(no) => {
             // Its word goes out before any that follows it.
             peer.send(reply(Kind::JobCreated, &[front.handle(no).as_bytes()]));
@@ -186,7 +186,7 @@
             When::Epoch(at) if at > (now / SECOND) as u64 + FURTHEST => Err("the time is over a year off"),
             When::Epoch(at) => Ok(Some(at as Micros * SECOND).filter(|at| *at > now)),
             When::Sched { minute, hour, day, month, weekday } => {
-                let fields = roselock_backlog::Fields { minute, hour, day, month, weekday };
+                let fields = roselock_backlog::CalendarFields { minute, hour, day, month, weekday };
                 let next = fields.next(now, &self.figures.zone).ok_or("there is no such time")?;
                 if next > now + FURTHEST as Micros * SECOND {
                     return Err("the next such time is over a year off");
@@ -200,8 +200,8 @@
 /// The connection ended: jobs for which nobody waits any more are given up, but for background ones.
 pub fn leave(front: &Gearman, peer: &Peer) {
     let mut jobs = lock(&front.jobs);
-    let waited = jobs.backlog.waits(peer.number) as u64;
-    let left = jobs.backlog.leave(peer.number);
+    let waited = jobs.backlog.jobs_awaited_by(peer.number) as u64;
+    let left = jobs.backlog.client_left(peer.number);
     jobs.ends.left += waited;
     let nudge = front.nudge(&mut jobs);
     drop(jobs);
@@ -229,7 +229,7 @@
         let payload = Payload {
             raw: template.raw.clone(),
             id: 0..0,
-            given: Some(format!("{:016x}-{}-{}", front.life, released.no, released.turn)),
+            given: Some(format!("{:016x}-{}-{}", front.life, released.no, released.earlier_releases)),
             method: template.method.clone(),
             target: template.target.clone(),
             beside: template.beside.clone(),
@@ -247,21 +247,21 @@
             memory: 0.0,
             hint: None,
             deadline: released.deadline,
-            ran: released.ran,
+            ran: released.attempts,
             peer,
             payload: Arc::new(payload),
             downstream: Box::new(Waiters {
                 front: front.clone(),
                 no: released.no,
                 stream,
-                before: released.ran,
+                before: released.attempts,
                 repeat,
             }),
         })
     }
 
     fn due(&self) -> Option<Micros> {
-        lock(&self.0.jobs).backlog.release_at()
+        lock(&self.0.jobs).backlog.next_release_at()
     }
 
     fn part(&self) {
@@ -269,19 +269,19 @@
     }
 }
 
-/// All who wait for a job that is out.
+/// All who wait for a released job.
 struct Waiters {
     front: Arc<Gearman>,
     no: JobNo,
     stream: StreamId,
-    /// Attempts that may have run in former turns.
+    /// Attempts that may have run in earlier releases.
     before: u32,
     repeat: bool,
 }
 
 impl Waiters {
     fn with_seats(&self, jobs: &Jobs, act: impl Fn(&Seat)) {
-        let out = jobs.backlog.job(self.no).filter(|j| j.state == State::Out(self.stream));
+        let out = jobs.backlog.job(self.no).filter(|j| j.state == State::Released(self.stream));
         out.iter().for_each(|job| job.waiters.iter().for_each(|w| act(&w.with)));
     }
 }
@@ -297,8 +297,8 @@
         let (front, now) = (&self.front, clock::now());
         let ran = ran.saturating_sub(self.before);
         let mut jobs = lock(&front.jobs);
-        let fate = jobs.backlog.ended(self.no, self.stream, ending, ran, self.repeat, now);
-        let Some(Fate::Final(ended)) = fate else { return };
+        let completion = jobs.backlog.complete(self.no, self.stream, ending, ran, self.repeat, now);
+        let Some(Completion::Final(ended)) = completion else { return };
         let ends = &mut jobs.ends;
         *match ending {
             Ending::Served => &mut ends.served,
@@ -331,7 +331,7 @@
             Answer::TimedOut => front.last_words(&ended, b"no answer in time; it may have run"),
         }
         if quiet && !by_worker {
-            front.log_lost(&ended, if ended.ran > 0 { "it may have run" } else { "it never ran" });
+            front.log_lost(&ended, if ended.attempts > 0 { "it may have run" } else { "it never ran" });
         }
     }
     fn running(&self, runs: bool) {
@@ -342,7 +342,7 @@
         // A Gearman worker's own numbers are relayed as it said them; HTTP hosts tell a share.
         let Some(job) = jobs.backlog.job(self.no) else { return };
         let percent = ((share * 100.0).clamp(0.0, 100.0).round() as u64, 100);
-        let (done, of) = if job.done.1 > 0 { job.done } else { percent };
+        let (done, of) = if job.progress.1 > 0 { job.progress } else { percent };
         let handle = self.front.handle(self.no);
         let args =
             [handle.as_bytes(), done.to_string().as_bytes(), of.to_string().as_bytes()].map(<[u8]>::to_vec);
@@ -364,7 +364,7 @@
 
 impl Gearman {
     /// Tells all who wait that a job has failed, and why.
-    pub(super) fn last_words(&self, ended: &Ended<Seat>, why: &[u8]) {
+    pub(super) fn last_words(&self, ended: &EndedJob<Seat>, why: &[u8]) {
         let handle = self.handle(ended.no);
         for waiter in &ended.waiters {
             let Seat { peer, exceptions } = &waiter.with;
@@ -376,7 +376,7 @@
     }
 
     /// A background job ended without a worker's word: nobody else will say so.
-    pub(super) fn log_lost(&self, ended: &Ended<Seat>, why: &str) {
+    pub(super) fn log_lost(&self, ended: &EndedJob<Seat>, why: &str) {
         let registry = self.functions.load();
         let function = registry.all.get(ended.function).map_or("?", |f| &f.name);
         let (handle, unique) = (self.handle(ended.no), String::from_utf8_lossy(&ended.unique).into_owned());
@@ -384,7 +384,7 @@
             handle,
             unique,
             function,
-            ran = ended.ran,
+            ran = ended.attempts,
             "gearman: a background job has ended: {why}"
         );
     }
@@ -442,6 +442,6 @@
 
 fn standing(job: Option<&Job<Seat, Payload>>) -> [String; 4] {
     let flag = |on: bool| if on { "1".to_owned() } else { "0".to_owned() };
-    let (done, of) = job.map_or((0, 0), |j| j.done);
+    let (done, of) = job.map_or((0, 0), |j| j.progress);
     [flag(job.is_some()), flag(job.is_some_and(|j| j.running)), done.to_string(), of.to_string()]
 }
--- a/dispatcher/src/wire/gearman/mod.rs
+++ b/dispatcher/src/wire/gearman/mod.rs
@@ -146,7 +146,7 @@
     /// Wakes the owner if it may release something and does not know. Called with the jobs locked; what it returns is
     /// posted after that.
     fn nudge(&self, jobs: &mut Jobs) -> bool {
-        !jobs.nudged && jobs.backlog.release_at().is_some() && {
+        !jobs.nudged && jobs.backlog.next_release_at().is_some() && {
             jobs.nudged = true;
             true
         }
--- a/dispatcher/src/wire/gearman/reload.rs
+++ b/dispatcher/src/wire/gearman/reload.rs
@@ -31,7 +31,7 @@
                 return Err("it goes to others from the next start on");
             }
             function.fleet = registry.all[f].fleet;
-            lock(&self.jobs).backlog.retell(f, function.queue.clone());
+            lock(&self.jobs).backlog.reconfigure(f, function.queue.clone());
             registry.put(function);
             self.functions.store(Arc::new(registry));
             return Ok(f);
--- a/dispatcher/src/wire/gearman/worker.rs
+++ b/dispatcher/src/wire/gearman/worker.rs
@@ -318,7 +318,7 @@
                 let (_, no) = self.running(handle)?;
                 let no = no?;
                 let mut jobs = lock(&front.jobs);
-                jobs.backlog.set_done(no, done, of);
+                jobs.backlog.set_progress(no, done, of);
                 let share = if of > 0 { done as f64 / of as f64 } else { 0.0 };
                 (handle, Heard::Progress(share.clamp(0.0, 1.0)))
             }
@@ -351,7 +351,7 @@
         };
         {
             let mut jobs = lock(&front.jobs);
-            jobs.backlog.took(held.function, clock::now() - held.grabbed);
+            jobs.backlog.record_run(held.function, clock::now() - held.grabbed);
             held.job_no().filter(|_| result.is_none()).into_iter().for_each(|no| jobs.backlog.set_failed(no));
         }
         let heard = match result {
