--- /dev/null
+++ b/crates/waiting/src/conditions.rs
@@ -0,0 +1,64 @@
+//! Prerequisites that end, and jobs that become ready by that.
+
+use crate::job::{EndReason, EndedJob, State};
+use crate::{JobId, Micros, OnUnmet, Outcome, Quorum, Waiting};
+
+impl<P> Waiting<P> {
+    /// Takes in the outcome of a prerequisite of a job (none: it is unknown); false if the job has ended by it.
+    pub(crate) fn settle_prerequisite(
+        &mut self,
+        key: usize,
+        on: JobId,
+        outcome: Option<Outcome>,
+        now: Micros,
+        ended: &mut Vec<EndedJob<P>>,
+    ) -> bool {
+        let Some(job) =
+            self.jobs.get_mut(key).filter(|j| j.state != State::Released && j.open_prerequisites > 0)
+        else {
+            return false;
+        };
+        let Some((_, condition)) =
+            job.dependencies.prerequisites.iter().find(|prerequisite| prerequisite.0 == on).copied()
+        else {
+            return true;
+        };
+        let met = outcome.is_some_and(|outcome| condition.is_met_by(outcome))
+            || job.dependencies.on_unmet == OnUnmet::Run;
+        job.open_prerequisites -= 1;
+        match (met, job.dependencies.quorum) {
+            (true, Quorum::Any) => job.open_prerequisites = 0,
+            // Another one may still meet its condition.
+            (false, Quorum::Any) if job.open_prerequisites > 0 => {}
+            (true, Quorum::All) => {}
+            (false, _) => {
+                self.end(key, EndReason::Prerequisite(on, outcome), now, ended);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Moves a job on whose prerequisites meet their conditions: it waits for its time, or is ready.
+    pub(crate) fn advance(&mut self, key: usize, now: Micros) {
+        let job = &mut self.jobs[key];
+        if job.state != State::Held || job.open_prerequisites > 0 {
+            return;
+        }
+        if let Some(at) = job.not_before {
+            job.state = State::Scheduled;
+            self.scheduled.insert((at, key));
+            return;
+        }
+        job.state = State::Ready;
+        job.ready_since = now;
+        let (tenant, class) = (job.tenant, job.class);
+        let tenant_state = &mut self.tenants[tenant];
+        if tenant_state.queues.len == 0 {
+            // It gets no credit for the time in which it had no jobs ready.
+            tenant_state.virtual_time = tenant_state.virtual_time.max(self.virtual_time);
+            self.by_virtual_time.insert((tenant_state.virtual_time.to_bits(), tenant));
+        }
+        tenant_state.queues.push(class, key, &mut self.links);
+    }
+}
--- /dev/null
+++ b/crates/waiting/src/end.rs
@@ -0,0 +1,122 @@
+//! Ends of jobs, and the outcomes that are kept of them.
+
+use crate::job::{EndReason, EndedJob, Job, State};
+use crate::{JobId, Micros, OnUnmet, Outcome, Waiting};
+
+impl<P> Waiting<P> {
+    /// Takes in the outcome of a released job; returns the jobs that end because of it.
+    pub fn complete(&mut self, id: JobId, outcome: Outcome, now: Micros) -> Vec<EndedJob<P>> {
+        let mut ended = Vec::new();
+        let released = self.by_id.get(&id).copied().filter(|k| self.jobs[*k].state == State::Released);
+        if let Some(key) = released {
+            self.remove(key, outcome, now, &mut ended);
+        }
+        ended
+    }
+
+    /// Cancels a job that was not released; returns it and the jobs that end because of it; nothing if there is none.
+    pub fn cancel(&mut self, id: JobId, now: Micros) -> Vec<EndedJob<P>> {
+        let mut ended = Vec::new();
+        let key = self.by_id.get(&id).copied().filter(|k| self.jobs[*k].state != State::Released);
+        if let Some(key) = key {
+            self.end(key, EndReason::Cancelled, now, &mut ended);
+        }
+        ended
+    }
+
+    /// Moves on jobs whose time has come; ends jobs that have waited too long, and returns them with the jobs that end
+    /// because of them.
+    pub fn tick(&mut self, now: Micros, wall: Micros) -> Vec<EndedJob<P>> {
+        let mut ended = Vec::new();
+        while let Some((at, key)) = self.scheduled.first().copied().filter(|t| t.0 <= wall) {
+            self.scheduled.remove(&(at, key));
+            self.jobs[key].not_before = None;
+            self.jobs[key].state = State::Held;
+            self.advance(key, now);
+        }
+        while let Some((_, key)) = self.deadlines.first().copied().filter(|l| l.0 <= now) {
+            self.end(key, EndReason::Limit, now, &mut ended);
+        }
+        self.drop_old_outcomes(now);
+        ended
+    }
+
+    /// Ends all jobs that were not released.
+    pub fn drain(&mut self, now: Micros) -> Vec<EndedJob<P>> {
+        let mut ended = Vec::new();
+        while let Some((_, key)) = self.deadlines.first().copied() {
+            self.end(key, EndReason::Drained, now, &mut ended);
+        }
+        ended
+    }
+
+    /// Ends a job that was not released, and the jobs that end because of it.
+    pub(crate) fn end(&mut self, key: usize, why: EndReason, now: Micros, ended: &mut Vec<EndedJob<P>>) {
+        self.leave_state(key);
+        let at = ended.len();
+        let job = self.remove(key, Outcome::Dropped, now, ended);
+        let quietly =
+            matches!(why, EndReason::Prerequisite(..)) && job.dependencies.on_unmet == OnUnmet::DropQuietly;
+        if let Some(payload) = job.payload {
+            ended.insert(at, EndedJob { id: job.id, why, quietly, payload });
+        }
+    }
+
+    /// Removes a job, keeps its outcome, and settles it with the jobs that wait for it.
+    fn remove(&mut self, key: usize, outcome: Outcome, now: Micros, ended: &mut Vec<EndedJob<P>>) -> Job<P> {
+        let job = self.jobs.remove(key);
+        self.by_id.remove(&job.id);
+        self.tenants[job.tenant].jobs -= 1;
+        for (on, _) in &job.dependencies.prerequisites {
+            if let Some(dependents) = self.dependents.get_mut(on) {
+                dependents.retain(|k| *k != key);
+                if dependents.is_empty() {
+                    self.dependents.remove(on);
+                }
+            }
+        }
+        self.outcomes.insert(job.id, outcome);
+        self.outcome_order.push_back((now, job.id));
+        self.drop_old_outcomes(now);
+        for dependent in self.dependents.remove(&job.id).unwrap_or_default() {
+            if self.settle_prerequisite(dependent, job.id, Some(outcome), now, ended) {
+                self.advance(dependent, now);
+            }
+        }
+        job
+    }
+
+    /// Takes a job that was not released out of the indexes of its state.
+    fn leave_state(&mut self, key: usize) {
+        let job = &self.jobs[key];
+        match job.state {
+            State::Scheduled => _ = self.scheduled.remove(&(job.not_before.unwrap_or(0), key)),
+            State::Ready => {
+                let (tenant, class) = (job.tenant, job.class);
+                let tenant_state = &mut self.tenants[tenant];
+                tenant_state.queues.remove(class, key, &mut self.links);
+                if tenant_state.queues.len == 0 {
+                    self.by_virtual_time.remove(&(tenant_state.virtual_time.to_bits(), tenant));
+                }
+            }
+            State::Held | State::Released => {}
+        }
+        let job = &self.jobs[key];
+        self.deadlines.remove(&(job.deadline, key));
+    }
+
+    /// Drops outcomes that are too many or too old. An id that ended twice has two entries.
+    fn drop_old_outcomes(&mut self, now: Micros) {
+        while let Some((at, id)) = self.outcome_order.front().copied() {
+            if self.outcome_order.len() <= self.settings.max_outcomes
+                && now - at < self.settings.outcome_retention
+            {
+                break;
+            }
+            self.outcome_order.pop_front();
+            if !self.outcome_order.iter().rev().take(1).any(|o| o.1 == id) {
+                self.outcomes.remove(&id);
+            }
+        }
+    }
+}
--- a/crates/waiting/src/queues.rs
+++ b/crates/waiting/src/queues.rs
@@ -1,17 +1,17 @@
-//! A tenant's lines: one for each class and one by age, linked through the jobs' own places.
+//! A tenant's queues: one for each class and one by age, as intrusive doubly linked lists over the jobs' keys.
 
-use crate::CLASSES;
+use crate::MAX_CLASSES;
 
 const NONE: u32 = u32::MAX;
 
-/// Two lists run through each place: that of its class (0) and that by age (1).
+/// A job's links in two lists: that of its class (0) and that by age (1).
 #[derive(Clone, Copy, Debug)]
 struct Link {
     before: [u32; 2],
     after: [u32; 2],
 }
 
-/// The places' links, by key.
+/// The jobs' links, by key.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Links(Vec<Link>);
 
@@ -32,18 +32,18 @@
 
 const EMPTY: Ends = Ends { first: NONE, last: NONE };
 
-/// The lines of one tenant.
+/// The queues of one tenant.
 #[derive(Clone, Debug)]
-pub(crate) struct Lines {
-    classes: [Ends; CLASSES],
+pub(crate) struct TenantQueues {
+    classes: [Ends; MAX_CLASSES],
     by_age: Ends,
-    /// Jobs in them.
+    /// Number of jobs in them.
     pub len: usize,
 }
 
-impl Default for Lines {
-    fn default() -> Lines {
-        Lines { classes: [EMPTY; CLASSES], by_age: EMPTY, len: 0 }
+impl Default for TenantQueues {
+    fn default() -> TenantQueues {
+        TenantQueues { classes: [EMPTY; MAX_CLASSES], by_age: EMPTY, len: 0 }
     }
 }
 
@@ -72,20 +72,20 @@
     }
 }
 
-impl Lines {
+impl TenantQueues {
     /// Appends a job.
     pub fn push(&mut self, class: usize, key: usize, links: &mut Links) {
         append(&mut self.classes[class], 0, key as u32, links);
         append(&mut self.by_age, 1, key as u32, links);
         self.len += 1;
     }
-    /// Takes one out.
+    /// Removes a job.
     pub fn remove(&mut self, class: usize, key: usize, links: &mut Links) {
         unlink(&mut self.classes[class], 0, key as u32, links);
         unlink(&mut self.by_age, 1, key as u32, links);
         self.len -= 1;
     }
-    /// The first by class, or the oldest.
+    /// The key of the first job by class, or (`aged`) of the oldest.
     pub fn first(&self, aged: bool) -> Option<usize> {
         let by_class = || self.classes.iter().map(|c| c.first).find(|f| *f != NONE);
         let first = if aged { Some(self.by_age.first).filter(|f| *f != NONE) } else { by_class() };
