Dial limiter and dial queue for a worker's door; [start] door is dial_backoff

Need: `door`, `line`, `knock`, `turned away` and `[start] door` said nothing to who knows token buckets, backoff and connection limits.

Ruled out: dropping the old key (installations have it); an error where both keys are given (either one turns it on, as `connections_per_s` does); renaming the rig's scenario `door`, which is another crate's and shows the old key at work.

Change: - crates/startup: `door` is `dial_limiter` with `DialLimiter`, `DialLimits`, `rejected_recently`. - dispatcher: `core/door.rs` is `core/dial_queue.rs` (its test file likewise), `Ask::Knock` is `Ask::Preconnect`, `Heard::TurnedAway` is `Heard::ConnectionRejected`. core.rs and serve.rs: renamed fields, calls and paths. - `[start] door` is `dial_backoff`. The old key is still accepted; the log at the start and `check-config` (on standard error, with success as before) name file, line and the new key. Nothing else behaves differently. Not warned of: an old key that comes with SIGHUP, which does not change the dial limits either.

Tests: who_finds_a_full_host_waits_for_a_connection now runs under both keys, and wants the warning for the old one; a_former_key_is_accepted_with_a_warning (2 cases) is new.

--- a/crates/startup/src/lib.rs
+++ b/crates/startup/src/lib.rs
@@ -1,8 +1,8 @@
 //! How a dispatcher starts where hundreds start in the same second, without I/O, clock or randomness: times and
 //! drawn numbers are arguments. Nothing here decides on work; the decision module asks [`pace`] when to call the
-//! list service, on real sockets and in the simulator alike; [`door`] says when a worker may be dialled; [`stage`] says how
+//! list service, on real sockets and in the simulator alike; [`dial_limiter`] says when a worker may be dialled; [`stage`] says how
 //! far a start has come.
 
-pub mod door;
+pub mod dial_limiter;
 pub mod pace;
 pub mod stage;
--- a/dispatcher/src/cli.rs
+++ b/dispatcher/src/cli.rs
@@ -81,7 +81,10 @@
     let done = match args.command {
         // Before anything else: a signal that nobody catches would end the process.
         Command::Serve(s) => serve::catch().and_then(|signals| serve::run(s.load()?, signals)),
-        Command::Check(c) => c.load().map(|c| println!("{}: the configuration is fine", c.name)),
+        Command::Check(c) => c.load().map(|c| {
+            c.warnings.iter().for_each(|warning| eprintln!("roselock: warning: {warning}"));
+            println!("{}: the configuration is fine", c.name);
+        }),
         Command::Version(_) => {
             println!("roselock {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/dispatcher/src/lifecycle/config.rs
+++ b/dispatcher/src/lifecycle/config.rs
@@ -5,7 +5,7 @@
 use crate::wire::list::{List, Target};
 use crate::wire::{gearman, ipfix};
 use roselock::settings::{Options, Site};
-use roselock_startup::door::Terms;
+use roselock_startup::dial_limiter::DialLimits;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -105,8 +105,10 @@
     pub site: Site,
     /// Whether moves of discovery are followed at one's place in a round.
     pub spread_moves: bool,
-    /// The terms on which workers' doors are heeded.
-    pub doors: Option<Terms>,
+    /// Limits of new connections to workers, if there are any.
+    pub dial_limits: Option<DialLimits>,
+    /// What to change in the files, though they are accepted as they are.
+    pub warnings: Vec<String>,
     /// The log.
     pub log: log::File,
     /// The Gearman front, if it is on.
@@ -189,7 +191,7 @@
         }
         number => number.as_u64().unwrap_or(0),
     };
-    let parts = parts(&files, file.limits, &site)?;
+    let (parts, warnings) = parts(&files, file.limits, &site)?;
     // What was checked with its file.
     let told = parts.start.list_call().ok().flatten();
     site.settings.list_call = told.unwrap_or(site.settings.list_call);
@@ -206,7 +208,8 @@
         limits: file.limits,
         known: List { rev: file.known.rev, all: true, targets: file.known.targets },
         spread_moves: parts.start.spread_moves,
-        doors: parts.start.doors(site.settings.fleet_size),
+        dial_limits: parts.start.dial_limits(site.settings.fleet_size),
+        warnings,
         log: parts.log,
         gearman: parts.gearman,
         ipfix: parts.ipfix,
@@ -215,8 +218,8 @@
     })
 }
 
-/// Reads the files that turn parts on: the operators' own, and those of single parts.
-fn parts(files: &Files, limits: Limits, site: &Site) -> Result<Operator, String> {
+/// Reads the files that turn parts on: the operators' own, and those of single parts; with warnings.
+fn parts(files: &Files, limits: Limits, site: &Site) -> Result<(Operator, Vec<String>), String> {
     let operator = files.operator.as_deref().map(Text::read).transpose()?;
     let mut parts: Operator = operator.as_ref().map_or(Ok(Operator::default()), Text::parse)?;
     if let (Some(text), Some(file)) = (&operator, &parts.gearman) {
@@ -228,6 +231,8 @@
     if let (Some(text), Err(problem)) = (&operator, parts.start.check()) {
         return Err(text.at("start.", &problem));
     }
+    let deprecated = operator.as_ref().zip(parts.start.deprecated());
+    let warnings = deprecated.map(|(text, problem)| text.at("start.", &problem)).into_iter().collect();
     let twice = |part: &str| {
         format!("--{part}: the operators' file has a section [{part}], too; leave one of the two out")
     };
@@ -249,7 +254,7 @@
     }
     parts.log.level = files.log_level.unwrap_or(parts.log.level);
     parts.log.form = files.log_form.unwrap_or(parts.log.form);
-    Ok(parts)
+    Ok((parts, warnings))
 }
 
 fn check_gearman(file: &gearman::File, limits: Limits, site: &Site) -> Result<(), Problem> {
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -39,6 +39,7 @@
 /// Serves until SIGTERM, and then until nothing is owed.
 pub fn run(config: Config, signals: Signals) -> Result<(), String> {
     let _log = log::start(config.log);
+    config.warnings.iter().for_each(|warning| tracing::warn!("{warning}"));
     // One core, shared with the thread that owns the decisions.
     may::config().set_workers(1).set_stack_size(STACK).set_pool_capacity(COROUTINES);
     let (inbox, outlet) = Inbox::new();
@@ -60,7 +61,7 @@
     let kept = handover::begin(owner, &operation.hand);
     let mut core = Core::new(inbox.clone(), outlet, flows, operation.clone());
     let fleet = core.add_fleet(site.settings.clone(), config.seed, Some(Box::new(dialer)))?;
-    config.doors.into_iter().for_each(|terms| core.set_doors(fleet, terms));
+    config.dial_limits.into_iter().for_each(|limits| core.set_dial_limits(fleet, limits));
     let mut watch = Watch {
         registry: registry.clone(),
         rev: Some(config.known.rev),
--- a/dispatcher/src/lifecycle/start.rs
+++ b/dispatcher/src/lifecycle/start.rs
@@ -2,7 +2,7 @@
 
 use super::problem::Problem;
 use roselock::Micros;
-use roselock_startup::door::Terms;
+use roselock_startup::dial_limiter::DialLimits;
 use serde::Deserialize;
 use toml::Spanned;
 
@@ -21,10 +21,12 @@
     pub careful: bool,
     /// A list service that has moved is called at one's place in a first round, not at once.
     pub spread_moves: bool,
-    /// Workers that close new connections at once are dialled again after a pause; what needs one waits meanwhile, and
-    /// kept connections that are not used go sooner.
-    door: bool,
-    /// New connections a second that all dispatchers together may open at one worker; turns `door` on, too.
+    /// Workers that reject new connections are dialled again after a backoff; what needs one waits meanwhile, and kept
+    /// connections that are not used go sooner.
+    dial_backoff: bool,
+    /// The former name of `dial_backoff`.
+    door: Option<Spanned<bool>>,
+    /// New connections a second that all dispatchers together may open at one worker; turns `dial_backoff` on, too.
     connections_per_s: Option<Spanned<f64>>,
 }
 
@@ -53,9 +55,15 @@
     pub fn check(&self) -> Result<(), Problem> {
         self.list_call().and(self.connections()).map(|_| ())
     }
-    /// The terms on which workers' doors are heeded, one of `all` dispatchers; none, and they are not.
-    pub fn doors(&self, all: u32) -> Option<Terms> {
+    /// A key that has another name now, if the file has one.
+    pub fn deprecated(&self) -> Option<Problem> {
+        let door = self.door.as_ref()?;
+        Some(Problem::new(door.span(), "door", "this key has another name now", "start.dial_backoff"))
+    }
+    /// Limits of new connections, for one of `all` dispatchers; none: they are not limited.
+    pub fn dial_limits(&self, all: u32) -> Option<DialLimits> {
         let bound = self.connections().ok().flatten();
-        (self.door || bound.is_some()).then(|| Terms::part_of(bound, all))
+        let backoff = self.dial_backoff || self.door.as_ref().is_some_and(|door| *door.as_ref());
+        (backoff || bound.is_some()).then(|| DialLimits::share_of(bound, all))
     }
 }
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -2,7 +2,7 @@
 //! posts what it decides. Only here does an upstream request end: with one verdict for each send.
 
 mod attempts;
-mod door;
+mod dial_queue;
 mod errands;
 mod hosts;
 mod operation;
@@ -14,7 +14,7 @@
 use super::*;
 use roselock::settings::fnv;
 use roselock::{Action, Dispatcher, Effect, Event, JobId, JobIn, Listed, Note, Settings};
-use roselock_startup::door::{Door, Terms};
+use roselock_startup::dial_limiter::{DialLimiter, DialLimits};
 use roselock_startup::stage::Start;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
@@ -44,10 +44,10 @@
     pool: Pool,
     link: Option<Arc<dyn Link>>,
     entry: FleetEntry,
-    /// When it may be dialled, attempts that wait for a connection to it, and whether one is made ready for them.
-    door: Door,
-    line: VecDeque<UpstreamRequest>,
-    knocking: bool,
+    /// When it may be dialled, attempts that wait for a connection to it, and whether one is opened ahead for them.
+    dial_limiter: DialLimiter,
+    dial_queue: VecDeque<UpstreamRequest>,
+    preconnecting: bool,
 }
 
 struct Fleet {
@@ -59,9 +59,9 @@
     events: Vec<Event>,
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
     stepped: Micros,
-    /// Its hosts' doors are heeded on these terms; none, and they are dialled at once.
-    doors: Option<Terms>,
-    /// When a new connection was closed at a door last.
+    /// Limits of new connections to its hosts; none: they are dialled at once.
+    dial_limits: Option<DialLimits>,
+    /// When a new connection was last rejected.
     closed: Option<Micros>,
 }
 
@@ -118,7 +118,7 @@
     quit: bool,
     /// The attempt that this withdraws.
     withdraws: Option<UpstreamId>,
-    /// It waits in its host's line: nothing of it has left.
+    /// It waits in its host's dial queue: nothing of it has left.
     waits: bool,
 }
 
@@ -145,8 +145,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Attempt(UpstreamId),
-    /// It has waited in its host's line for long enough.
-    Line(UpstreamId),
+    /// It has waited in its host's dial queue for long enough.
+    DialQueue(UpstreamId),
     Stream(StreamId),
 }
 
@@ -187,8 +187,8 @@
     abandoned: HashMap<UpstreamId, (FleetId, WorkerId, Arc<Payload>)>,
     /// Withdrawals that have not arrived, the next one due first.
     unsent: VecDeque<Unsent>,
-    /// Hosts with a line.
-    lines: BTreeSet<(FleetId, WorkerId)>,
+    /// Hosts whose dial queue is not empty.
+    dial_queues: BTreeSet<(FleetId, WorkerId)>,
     /// Where the latest draw came from.
     drawn: u64,
     actions: Vec<Action>,
@@ -231,7 +231,7 @@
             next_upstream: 0,
             due: BinaryHeap::new(),
             unsent: VecDeque::new(),
-            lines: BTreeSet::new(),
+            dial_queues: BTreeSet::new(),
             drawn: now as u64,
             actions: Vec::new(),
             swept: now,
@@ -282,7 +282,7 @@
             events: Vec::new(),
             timers: BinaryHeap::new(),
             stepped: 0,
-            doors: None,
+            dial_limits: None,
             closed: None,
         });
         Ok(self.fleets.len() - 1)
@@ -306,7 +306,7 @@
             let now = clock::now();
             self.fire_due(now);
             self.withdraw_again(now);
-            self.serve_lines(now);
+            self.serve_dial_queues(now);
             self.draw(now);
             // Fleets may share hosts: none has the first word on those that become free each time.
             self.by_hand();
@@ -341,8 +341,8 @@
         });
         let unsent = self.unsent.front().map(|u| u.due);
         let feeds = self.feeds.iter().filter_map(|f| f.due());
-        let doors = self.lines.iter().filter_map(|line| self.door_opens(*line));
-        steps.chain(feeds).chain(due).chain(unsent).chain(doors).fold(idle, Micros::min)
+        let dials = self.dial_queues.iter().filter_map(|queue| self.next_dial_at(*queue));
+        steps.chain(feeds).chain(due).chain(unsent).chain(dials).fold(idle, Micros::min)
     }
 
     /// Takes in what the feeds have.
--- a/dispatcher/src/memory/core/attempts.rs
+++ b/dispatcher/src/memory/core/attempts.rs
@@ -1,7 +1,7 @@
 //! Upstream requests: put on a connection, heard of, ended with one verdict, given up.
 
 use super::*;
-use roselock_startup::door::wary;
+use roselock_startup::dial_limiter::rejected_recently;
 
 /// Before the end of the window in which a repeat may be sent, for its way.
 const WITHIN: Micros = 10_000;
@@ -26,10 +26,10 @@
             }
         }
         if kept.is_none() && matches!(heard, Heard::Taken | Heard::Probed(true, _) | Heard::Withdrawn) {
-            self.fleets[fleet].hosts.get_mut(&host).iter_mut().for_each(|h| h.door.let_in());
+            self.fleets[fleet].hosts.get_mut(&host).iter_mut().for_each(|h| h.dial_limiter.record_accepted());
         }
         let Some(up) = self.upstreams.get_mut(&id) else { return };
-        let knock = matches!(up.errand, Some(Ask::Knock));
+        let preconnect = matches!(up.errand, Some(Ask::Preconnect));
         match link {
             LinkIs::Busy => {}
             LinkIs::Closed => up.link = None,
@@ -44,11 +44,11 @@
                 }
             }
         }
-        if knock {
-            self.knocked(fleet, host, matches!(heard, Heard::Broken));
+        if preconnect {
+            self.preconnected(fleet, host, matches!(heard, Heard::Broken));
         }
         if link == LinkIs::Free {
-            self.seat(fleet, host);
+            self.assign_idle_connections(fleet, host);
         }
         match heard {
             Heard::Taken | Heard::Started => {
@@ -89,7 +89,7 @@
                 Some(Ask::Probe) => self.unanswered(fleet, host),
                 _ => {}
             },
-            Heard::TurnedAway(written) => self.turned_away(id, written),
+            Heard::ConnectionRejected(written) => self.connection_rejected(id, written),
             Heard::Nothing => {}
         }
         self.withdraw_later(id);
@@ -178,7 +178,7 @@
     pub(super) fn hold_back_attempt(&mut self, id: UpstreamId) {
         let Some(up) = self.upstreams.get(&id).filter(|u| !u.ended) else { return };
         if up.waits {
-            return self.leave_line(id);
+            return self.leave_dial_queue(id);
         }
         if up.link.as_ref().is_some_and(|l| l.hold_back()) {
             self.upstreams.entry(id).and_modify(|u| u.link = None);
@@ -200,7 +200,7 @@
     pub(super) fn give_up(&mut self, id: UpstreamId, outcome: Outcome) {
         let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended) else { return };
         if up.waits {
-            return self.leave_line(id);
+            return self.leave_dial_queue(id);
         }
         let (fleet, host, stream, taken) = (up.fleet, up.host, up.stream, up.taken);
         let resident = up.link.as_ref().is_some_and(|l| l.resident());
@@ -248,13 +248,15 @@
                         Some(link)
                     }
                     None if fleet.dialer.as_ref().is_some_and(|d| d.room(&request.ask)) => {
-                        if let Some(terms) = fleet.doors.filter(|_| !matches!(request.ask, Ask::Knock)) {
-                            let proven = need == Some(Need::Once) && wary(fleet.closed, now);
-                            let open = host.door.opens(terms, now) <= now && !proven;
-                            if !open || (!host.line.is_empty() && class.is_some()) {
-                                return class.is_some() && self.join_line(up, request);
+                        if let Some(limits) =
+                            fleet.dial_limits.filter(|_| !matches!(request.ask, Ask::Preconnect))
+                        {
+                            let proven = need == Some(Need::Once) && rejected_recently(fleet.closed, now);
+                            let open = host.dial_limiter.next_dial_at(limits, now) <= now && !proven;
+                            if !open || (!host.dial_queue.is_empty() && class.is_some()) {
+                                return class.is_some() && self.join_dial_queue(up, request);
                             }
-                            host.door.dialled(terms, now);
+                            host.dial_limiter.record_dial(limits, now);
                         }
                         self.next_upstream += 1;
                         up.link = fleet.dialer.as_ref().map(|d| d.dial(endpoint, request));
--- a/dispatcher/src/memory/core/door_tests.rs
+++ b/dispatcher/src/memory/core/dial_queue_tests.rs
@@ -1,4 +1,4 @@
-//! The doors of upstream hosts, and attempts of which nothing has left.
+//! The dial queues of upstream hosts, and attempts of which nothing has been sent.
 
 use super::*;
 use roselock::{CellId, KindId, ZoneId};
@@ -6,10 +6,10 @@
 use std::sync::Mutex;
 
 /// A connection that takes all and does nothing, up or still coming up; a dialler that writes down whom it dials for.
-struct Line_ {
+struct TestLink {
     up: bool,
 }
-impl Link for Line_ {
+impl Link for TestLink {
     fn start(&self, _: UpstreamRequest) -> bool {
         true
     }
@@ -22,7 +22,7 @@
 impl Dialer for Dials {
     fn dial(&self, _: SocketAddr, request: UpstreamRequest) -> Arc<dyn Link> {
         self.0.lock().expect("not poisoned").push(request);
-        Arc::new(Line_ { up: self.1 })
+        Arc::new(TestLink { up: self.1 })
     }
     fn room(&self, _: &Ask) -> bool {
         true
@@ -80,13 +80,13 @@
     fn dialled(&self) -> usize {
         self.dialled.lock().expect("not poisoned").len()
     }
-    /// The latest dial is closed at the door, before anything was written.
-    fn closed(&mut self) {
+    /// The latest dial is rejected, before anything was written.
+    fn reject(&mut self) {
         let id = self.dialled.lock().expect("not poisoned").last().expect("a dial").id;
-        self.core.handle(Input::Upstream(id, Heard::TurnedAway(false), LinkIs::Closed));
+        self.core.handle(Input::Upstream(id, Heard::ConnectionRejected(false), LinkIs::Closed));
     }
     fn waiting(&self) -> usize {
-        self.core.fleets[0].hosts[&WorkerId(1)].line.len()
+        self.core.fleets[0].hosts[&WorkerId(1)].dial_queue.len()
     }
 }
 
@@ -106,47 +106,52 @@
     let mut core = Core::new(inbox.clone(), outlet, None, Operation::new(vec!["look".into()]));
     let dialled: Arc<Mutex<Vec<UpstreamRequest>>> = Arc::default();
     core.add_fleet(set, 7, Some(Box::new(Dials(dialled.clone(), up)))).expect("settings");
-    core.set_doors(0, Terms::default());
+    core.set_dial_limits(0, DialLimits::default());
     let mut world = World { core, inbox, dialled, now: clock::now() };
     world.list(Listed::Ready);
     world
 }
 
-/// Guards against dials that go on at a closed door, and against one that stays shut.
+/// Guards against dials that go on during the backoff, and against a backoff without end.
 #[rstest]
-fn who_was_turned_away_waits_for_the_door(mut world: World) {
+fn a_rejected_attempt_waits_for_the_backoff(mut world: World) {
     world.ask();
     assert_eq!((world.dialled(), world.waiting()), (1, 0));
-    world.closed();
-    world.core.serve_lines(clock::now());
+    world.reject();
+    world.core.serve_dial_queues(clock::now());
     assert_eq!((world.dialled(), world.waiting()), (1, 1));
     let later = clock::now() + 3_000_000;
-    world.core.fleets[0].hosts.get_mut(&WorkerId(1)).expect("a host").door = Door::new(0);
-    world.core.serve_lines(later);
+    world.core.fleets[0].hosts.get_mut(&WorkerId(1)).expect("a host").dial_limiter = DialLimiter::new(0);
+    world.core.serve_dial_queues(later);
     assert_eq!((world.dialled(), world.waiting()), (2, 0));
 }
 
-/// Guards against a line that outlives the word of a drain, and against a dial there.
+/// Guards against a dial queue that outlives the word of a drain, and against a dial there.
 #[rstest]
 fn nobody_waits_at_a_host_that_drains(mut world: World) {
     let stream = world.ask();
-    world.closed();
+    world.reject();
     world.list(Listed::Draining);
     assert_eq!((world.waiting(), world.core.streams[&stream].out), (0, None));
-    world.core.serve_lines(clock::now() + 3_000_000);
+    world.core.serve_dial_queues(clock::now() + 3_000_000);
     world.list(Listed::Ready);
     world.steps();
     assert_eq!(world.core.streams[&stream].ran, 0, "it never ran");
     assert_eq!(world.core.streams[&stream].rounds, 2, "and was sent anew");
 }
 
-/// Guards against a connection that falls free while others wait for one, and a line without a bound.
+/// Guards against a connection that falls free while others wait for one, and a queue without a bound.
 #[rstest]
 fn a_connection_that_falls_free_is_taken_by_who_waits(mut world: World) {
     world.ask();
     let first = world.dialled.lock().expect("not poisoned")[0].id;
-    world.core.fleets[0].hosts.get_mut(&WorkerId(1)).expect("a host").door.turned_away(clock::now(), 1.0);
-    for _ in 0..3 * LINE {
+    world.core.fleets[0]
+        .hosts
+        .get_mut(&WorkerId(1))
+        .expect("a host")
+        .dial_limiter
+        .record_rejected(clock::now(), 1.0);
+    for _ in 0..3 * MAX_QUEUED {
         world.core.fleets[0].events.clear();
         let request = UpstreamRequest {
             id: world.core.next_upstream,
@@ -156,11 +161,11 @@
             deadline: clock::now() + 9_000_000,
             class: Some(0),
         };
-        world.core.join_line(Upstream::new(0, WorkerId(1)), request);
+        world.core.join_dial_queue(Upstream::new(0, WorkerId(1)), request);
     }
-    assert_eq!(world.waiting(), LINE);
+    assert_eq!(world.waiting(), MAX_QUEUED);
     world.core.handle(Input::Upstream(first, Heard::Taken, LinkIs::Free));
-    assert_eq!((world.waiting(), world.dialled()), (LINE - 1, 1));
+    assert_eq!((world.waiting(), world.dialled()), (MAX_QUEUED - 1, 1));
 }
 
 /// Guards against an attempt whose connection comes up late, after its host was said to drain: it ends with that word, has
@@ -174,7 +179,7 @@
     #[case] ran: u32,
 ) {
     let mut world = world_of(r#""effect":"unsafe""#, up);
-    world.core.fleets[0].doors = None;
+    world.core.fleets[0].dial_limits = None;
     let stream = world.ask();
     assert_eq!(world.core.streams[&stream].out, Some(0));
     world.list(Listed::Draining);
@@ -196,7 +201,7 @@
 #[rstest]
 fn who_had_taken_it_when_the_client_left_is_told() {
     let mut world = world_of(r#""effect":"unsafe""#, true);
-    world.core.fleets[0].doors = None;
+    world.core.fleets[0].dial_limits = None;
     let stream = world.ask();
     world.core.handle(Input::Left(stream));
     world.steps();
@@ -213,7 +218,7 @@
 fn a_repeat_may_not_begin_after_its_window() {
     let keyed = r#""effect":"keyed","keyScope":"all","windowS":5"#;
     let mut world = world_of(keyed, true);
-    world.core.fleets[0].doors = None;
+    world.core.fleets[0].dial_limits = None;
     world.ask();
     let reset =
         |id| Input::Upstream(id, Heard::Ended(Outcome::Reset, Gauge::default(), Vec::new()), LinkIs::Closed);
--- a/dispatcher/src/memory/core/errands.rs
+++ b/dispatcher/src/memory/core/errands.rs
@@ -25,7 +25,7 @@
     pub(super) fn call_off(&mut self, id: UpstreamId) {
         let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended && !u.quit) else { return };
         if up.waits {
-            return self.leave_line(id);
+            return self.leave_dial_queue(id);
         }
         if up.link.as_ref().is_some_and(|l| l.resident()) {
             return self.give_up(id, Outcome::Cancelled);
@@ -89,8 +89,8 @@
         }
         if matches!(ask, Ask::Probe) {
             self.unanswered(fleet, host);
-        } else if matches!(ask, Ask::Knock) {
-            self.knocked(fleet, host, false);
+        } else if matches!(ask, Ask::Preconnect) {
+            self.preconnected(fleet, host, false);
         } else {
             self.keep(Unsent { due: now + RETRY, fleet, host, ask, withdraws });
         }
--- a/dispatcher/src/memory/core/hosts.rs
+++ b/dispatcher/src/memory/core/hosts.rs
@@ -1,7 +1,7 @@
 //! Upstream hosts: the list, and their idle connections.
 
 use super::*;
-use roselock_startup::door::UNUSED;
+use roselock_startup::dial_limiter::SURPLUS_AFTER;
 
 impl Core {
     pub(super) fn list(&mut self, f: FleetId, mode: ListMode, hosts: Vec<ListedHost>) {
@@ -36,14 +36,14 @@
                 pool: Pool::default(),
                 link: None,
                 entry: listed.entry.clone(),
-                door: Door::new(clock::now()),
-                line: VecDeque::new(),
-                knocking: false,
+                dial_limiter: DialLimiter::new(clock::now()),
+                dial_queue: VecDeque::new(),
+                preconnecting: false,
             });
             let restarted = listed.entry.up_since > host.entry.up_since;
             if restarted || listed.endpoint != host.endpoint || listed.entry.state != Listed::Ready {
                 host.pool.clear();
-                host.door = Door::new(clock::now());
+                host.dial_limiter = DialLimiter::new(clock::now());
             }
             (host.endpoint, host.entry) = (listed.endpoint, listed.entry);
             host.link = listed.link;
@@ -53,7 +53,7 @@
             fleet.hosts.retain(|_, h| !gone(h));
         }
         fleet.events.push(Event::Fleet { mode, entries });
-        self.clear_lines(|host| host.entry.state != Listed::Ready);
+        self.clear_dial_queues(|host| host.entry.state != Listed::Ready);
         self.hold_back_at(f, |host| host.entry.state != Listed::Ready);
         let mut hosts = self.fleets.iter().flat_map(|f| f.hosts.values());
         self.inbox.set_able(hosts.any(|h| h.entry.state == Listed::Ready));
@@ -70,7 +70,11 @@
             let trusted = fleet.trust.since(now, Need::Repeatable);
             for host in fleet.hosts.values_mut() {
                 host.pool.expire(since);
-                host.pool.thin(if fleet.doors.is_some() { trusted.max(now - UNUSED) } else { trusted });
+                host.pool.thin(if fleet.dial_limits.is_some() {
+                    trusted.max(now - SURPLUS_AFTER)
+                } else {
+                    trusted
+                });
             }
         }
     }
--- a/dispatcher/src/memory/core/operation.rs
+++ b/dispatcher/src/memory/core/operation.rs
@@ -42,7 +42,7 @@
             let back = self.told.difference(&out).map(|w| Event::Suspend { worker: *w, out: false });
             fleet.events.extend(taken.chain(back));
         }
-        self.clear_lines(|host| out.contains(&host.entry.worker));
+        self.clear_dial_queues(|host| out.contains(&host.entry.worker));
         (0..self.fleets.len()).for_each(|f| self.hold_back_at(f, |host| out.contains(&host.entry.worker)));
         (self.told, self.hand_seen, self.published) = (out, generation, 0);
         self.operation.hand.told(generation);
--- a/dispatcher/src/memory/core/steps.rs
+++ b/dispatcher/src/memory/core/steps.rs
@@ -11,7 +11,7 @@
             self.due.pop();
             match due {
                 Due::Attempt(id) => self.give_up(id, Outcome::Timeout),
-                Due::Line(id) => self.leave_line(id),
+                Due::DialQueue(id) => self.leave_dial_queue(id),
                 Due::Stream(id) => {
                     let Some(stream) = self.streams.get(&id).filter(|s| !s.answered) else { continue };
                     let fleet = stream.fleet;
@@ -99,7 +99,7 @@
         let payload = stream.payload.clone();
         let up = Upstream { stream: job, round, sent: now, ..Upstream::new(f, worker) };
         let id = self.next_upstream;
-        let need = door::need(&self.fleets[f].set, Some(stream.class.0 as usize));
+        let need = dial_queue::need(&self.fleets[f].set, Some(stream.class.0 as usize));
         if barred || !self.launch(up, Ask::Run(payload), deadline, Some(need)) {
             let last = self.streams[&job].answered;
             let (job, outcome, gauge) = (JobId(job), Outcome::Moot, Gauge::default());
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -175,8 +175,8 @@
     Withdraw(Arc<Payload>),
     /// How it is.
     Probe,
-    /// Nothing: a new connection that is to be kept, once it was not closed at the door.
-    Knock,
+    /// Nothing: a new connection is opened ahead, and kept if it is accepted.
+    Preconnect,
 }
 
 /// An upstream request on its way to a connection.
@@ -262,8 +262,8 @@
     Withdrawn,
     /// The connection ended under a probe or a withdrawal.
     Broken,
-    /// A new connection was closed before its first byte came, as soon as it was up; whether something was written.
-    TurnedAway(bool),
+    /// The host has rejected a new connection: closed it at once, without a byte; whether something was written.
+    ConnectionRejected(bool),
     /// Nothing of note.
     Nothing,
 }
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -7,7 +7,7 @@
 use roselock::settings::Site;
 use roselock::{Gauge, Outcome};
 use roselock_operation::figures::Figures;
-use roselock_startup::door::AT_THE_DOOR;
+use roselock_startup::dial_limiter::IMMEDIATE_CLOSE;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -121,7 +121,7 @@
             Ask::Run(_) => Heard::Ended(outcome, Gauge::default(), Vec::new()),
             Ask::Probe => Heard::Probed(false, Gauge::default()),
             Ask::Withdraw(_) => Heard::Nothing,
-            Ask::Knock => Heard::Broken,
+            Ask::Preconnect => Heard::Broken,
         };
         let broken = match request.ask {
             Ask::Run(_) => Heard::Ended(Outcome::Reset, Gauge::default(), Vec::new()),
@@ -141,23 +141,23 @@
         if opened.is_some() && !self.open(request) {
             return (unsent(if late() { Outcome::Moot } else { Outcome::ConnectFailed }), LinkIs::Closed);
         }
-        let at_the_door = |now| opened.is_some_and(|at| now - at <= AT_THE_DOOR);
+        let closed_at_once = |now| opened.is_some_and(|at| now - at <= IMMEDIATE_CLOSE);
         let Some((socket, reader)) = &mut self.reader else { return (Heard::Nothing, LinkIs::Closed) };
-        if matches!(request.ask, Ask::Knock) {
-            return match reader.response(by(AT_THE_DOOR)) {
+        if matches!(request.ask, Ask::Preconnect) {
+            return match reader.response(by(IMMEDIATE_CLOSE)) {
                 Err(Bad::Late) => (Heard::Nothing, LinkIs::Free),
-                _ => (Heard::TurnedAway(false), LinkIs::Closed),
+                _ => (Heard::ConnectionRejected(false), LinkIs::Closed),
             };
         }
         if opened.is_some() && !socket.is_quiet() {
-            return (Heard::TurnedAway(false), LinkIs::Closed);
+            return (Heard::ConnectionRejected(false), LinkIs::Closed);
         }
         if late() {
             return (unsent(Outcome::Moot), LinkIs::Closed);
         }
         if write(socket, self.endpoint, request).is_err() {
-            let heard = if at_the_door(clock::now()) {
-                Heard::TurnedAway(false)
+            let heard = if closed_at_once(clock::now()) {
+                Heard::ConnectionRejected(false)
             } else {
                 unsent(Outcome::ConnectFailed)
             };
@@ -172,8 +172,8 @@
             }
             // The owner ends the attempt at its deadline; till then no word is no outcome.
             Err(Bad::Late) => (Heard::Nothing, LinkIs::Closed),
-            Err(_) if at_the_door(clock::now()) && reader.is_empty() => {
-                (Heard::TurnedAway(true), LinkIs::Closed)
+            Err(_) if closed_at_once(clock::now()) && reader.is_empty() => {
+                (Heard::ConnectionRejected(true), LinkIs::Closed)
             }
             Err(_) => (broken, LinkIs::Closed),
         }
@@ -227,7 +227,7 @@
             socket.write(&parts, request.deadline)
         }
         Ask::Probe => socket.write(&[b"GET /stats", host.as_bytes(), b"\r\n"], request.deadline),
-        Ask::Knock => Ok(()),
+        Ask::Preconnect => Ok(()),
     }
 }
 
@@ -236,7 +236,7 @@
     let report = answer.value("x-load-report").and_then(http::load_report);
     match ask {
         Ask::Withdraw(_) => Heard::Withdrawn,
-        Ask::Knock => Heard::Nothing,
+        Ask::Preconnect => Heard::Nothing,
         Ask::Probe => {
             let body = std::str::from_utf8(answer.body()).ok().and_then(http::load_report);
             let gauge = report.or(body).map(|g| site.gauge(&g)).unwrap_or_default();
--- a/dispatcher/tests/door.rs
+++ b/dispatcher/tests/dial_backoff.rs
@@ -1,11 +1,10 @@
-//! Stories of hosts that keep few connections and close further ones at once.
+//! Hosts that keep few connections and reject further ones.
 
 mod common;
 use common::*;
 use rstest::rstest;
 use std::net::{Shutdown, TcpListener};
 
-const DOOR: &str = "[start]\ndoor = true\n";
 const DONE: &str = r#""state":"done","result":"made","load":{"x0":4}"#;
 
 /// From now on closes each connection as soon as it comes up; told of each.
@@ -23,11 +22,18 @@
 }
 
 /// A dispatcher of one host whose one connection is in use, and that has just closed another one.
-fn at_a_full_host(host: &Host) -> (Discovery, Dispatcher, Peer, [Peer; 2]) {
+fn at_a_full_host(host: &Host, key: &str) -> (Discovery, Dispatcher, Peer, [Peer; 2]) {
     let discovery = Discovery::start();
     let (settings, known) = (settings(0.0, 9.0), list(7, true, &[host.line("ready")]));
-    let dispatcher =
-        Dispatcher::launch(Start { operator: Some(DOOR), ..Start::new(discovery.at, &settings, &known) });
+    let operator = format!("[start]\n{key} = true\n");
+    let start = Start { operator: Some(&operator), ..Start::new(discovery.at, &settings, &known) };
+    let mut dispatcher = Dispatcher::launch(start);
+    if key == "door" {
+        assert_eq!(
+            dispatcher.has_logged("start.door: "),
+            "this key has another name now; expected: start.dial_backoff"
+        );
+    }
     // It has room for more than are asked: only connections are few.
     let mut first = dispatcher.ask("c0", "look", 15.0);
     let (mut peer, _) = host.take();
@@ -42,11 +48,13 @@
 }
 
 /// Guards against a host that is full taken for one that has died, and against a payment written to a connection that
-/// is closed at the door: both wait for the connection that there is.
+/// is rejected: both wait for the connection that there is. The key's former name does the same, and is warned of.
 #[rstest]
-fn who_finds_a_full_host_waits_for_a_connection() {
+#[case::key("dial_backoff")]
+#[case::former_key("door")]
+fn who_finds_a_full_host_waits_for_a_connection(#[case] key: &str) {
     let host = Host::new("s-1");
-    let (_discovery, dispatcher, mut peer, [mut first, mut second]) = at_a_full_host(&host);
+    let (_discovery, dispatcher, mut peer, [mut first, mut second]) = at_a_full_host(&host, key);
     let mut third = dispatcher.ask("c3", "pay", 15.0);
     // A round trip after it, so that it has come in.
     assert_eq!(dispatcher.call_back("none", "s-1", DONE), 204);
--- a/dispatcher/tests/gearman_queue.rs
+++ b/dispatcher/tests/gearman_queue.rs
@@ -410,6 +410,16 @@
     assert!(said.contains("operator.toml"), "{said}");
 }
 
+/// A key under its former name is accepted, and its present name is told.
+#[rstest]
+#[case::key("dial_backoff", &[])]
+#[case::former_key("door", &["warning: ", "line 3: start.door", "another name", "start.dial_backoff"])]
+fn a_former_key_is_accepted_with_a_warning(#[case] key: &str, #[case] words: &[&str]) {
+    let (fine, said) = checked(&format!("[start]\ncareful = false\n{key} = true\n"));
+    assert!(fine && words.iter().all(|w| said.contains(w)), "{said}");
+    assert_eq!(said.is_empty(), words.is_empty(), "{said}");
+}
+
 /// The file that is shipped is fine but for the names of the site's classes, which it shows.
 #[rstest]
 fn the_shipped_file_is_fine() {
