Suspensions and control requests: the field's names for hand and errands

Need: `memory/hand.rs` (`ByHand`, `Wanted`) and `core/errands.rs` named neither what they hold nor what they do. The admin calls are SUSPEND and RESTORE, and the errands are probes, withdrawals and connections opened ahead.

Ruled out: other words in the log and on the admin address (staff and scripts read them), and another name of the file in `$TMPDIR`, which the process before an upgrade writes.

Change, without any of behaviour: - `memory/suspensions.rs`: `Suspensions`, `SuspendedWorkers { ids, sequence }`; its two unit tests moved to suspensions_tests.rs, word for word but for names. - `core/control_requests.rs`: `send_control`, `UnsentWithdrawal`, `cancel_attempt`, `retry_withdrawal`; `Need::Control` in the pool. - core.rs and serve.rs: renamed paths, fields and calls only.

--- a/dispatcher/src/lifecycle/handover.rs
+++ b/dispatcher/src/lifecycle/handover.rs
@@ -1,9 +1,9 @@
 //! What passes from one process to the next through `$TMPDIR`, the only disk that lasts, and only across an
-//! upgrade: the workers out by hand. A thread of its own writes the file when they change, and reads it when
+//! upgrade: the suspended workers. A thread of its own writes the file when they change, and reads it when
 //! another process has written it, so that a call at either of two processes that serve side by side holds at both.
 
 use crate::memory::Inbox;
-use crate::memory::hand::{ByHand, Wanted};
+use crate::memory::suspensions::{SuspendedWorkers, Suspensions};
 use roselock_operation::saved::Saved;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -31,7 +31,7 @@
 }
 
 /// Reads the file; what cannot be trusted is logged and left.
-fn read(path: &Path, owner: &Owner) -> Option<Wanted> {
+fn read(path: &Path, owner: &Owner) -> Option<SuspendedWorkers> {
     let bytes = match std::fs::read(path) {
         Ok(bytes) => bytes,
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
@@ -41,7 +41,7 @@
         }
     };
     match Saved::decode(&bytes, &owner.site, &owner.name, now_ms()) {
-        Ok(saved) => Some(Wanted { out: saved.workers.into_iter().collect(), seq: saved.seq }),
+        Ok(saved) => Some(SuspendedWorkers { ids: saved.workers.into_iter().collect(), sequence: saved.seq }),
         Err(why) => {
             tracing::warn!("{}: {} is left: {why}", owner.name, path.display());
             None
@@ -50,13 +50,13 @@
 }
 
 /// Writes it whole under another name, then puts it in the place of the old one.
-fn write(path: &Path, owner: &Owner, wanted: &Wanted) -> std::io::Result<()> {
+fn write(path: &Path, owner: &Owner, wanted: &SuspendedWorkers) -> std::io::Result<()> {
     let saved = Saved {
         site: owner.site.clone(),
         name: owner.name.clone(),
-        seq: wanted.seq,
+        seq: wanted.sequence,
         written_ms: now_ms(),
-        workers: wanted.out.iter().cloned().collect(),
+        workers: wanted.ids.iter().cloned().collect(),
     };
     let new = path.with_extension(format!("new-{}", std::process::id()));
     std::fs::write(&new, saved.encode())?;
@@ -67,25 +67,25 @@
 pub struct Kept {
     owner: Owner,
     path: PathBuf,
-    written: Wanted,
+    written: SuspendedWorkers,
     seen: Option<(SystemTime, u64)>,
 }
 
 /// Takes over what the process before left. To be called before the admin address opens.
-pub fn begin(owner: Owner, hand: &ByHand) -> Kept {
+pub fn begin(owner: Owner, suspensions: &Suspensions) -> Kept {
     let path = path(&owner.name);
     // Before it is read: what is written in between is seen as a change.
     let seen = stamp(&path);
     if let Some(wanted) = read(&path, &owner) {
-        let many = wanted.out.len();
+        let many = wanted.ids.len();
         tracing::info!("{}: {many} workers out by hand, as the process before left them", owner.name);
-        hand.adopt(wanted);
+        suspensions.adopt(wanted);
     }
-    Kept { owner, path, written: hand.wanted(), seen }
+    Kept { owner, path, written: suspensions.workers(), seen }
 }
 
 /// Keeps the file and what is wanted alike for as long as the process lives.
-pub fn keep(kept: Kept, hand: Arc<ByHand>, inbox: Inbox) {
+pub fn keep(kept: Kept, suspensions: Arc<Suspensions>, inbox: Inbox) {
     let Kept { owner, path, mut written, mut seen } = kept;
     std::thread::spawn(move || {
         let mut failing = false;
@@ -96,14 +96,14 @@
                 seen = now;
                 if let Some(other) = read(&path, &owner) {
                     written = other.clone();
-                    if hand.adopt(other) {
+                    if suspensions.adopt(other) {
                         tracing::info!("{}: workers out by hand as another process left them", owner.name);
                         inbox.nudge();
                     }
                 }
             }
-            let wanted = hand.wanted();
-            if wanted.seq > written.seq {
+            let wanted = suspensions.workers();
+            if wanted.sequence > written.sequence {
                 match write(&path, &owner, &wanted) {
                     Ok(()) => (written, seen, failing) = (wanted, stamp(&path), false),
                     Err(e) if !failing => {
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -58,7 +58,7 @@
     let registry = Registry::new(config.discovery, ask);
     let flows = config.ipfix.as_ref().map(|file| ipfix::start(file, &site)).transpose()?;
     let owner = handover::Owner { site: config.listen.to_string(), name: config.name.clone() };
-    let kept = handover::begin(owner, &operation.hand);
+    let kept = handover::begin(owner, &operation.suspensions);
     let mut core = Core::new(inbox.clone(), outlet, flows, operation.clone());
     let fleet = core.add_fleet(site.settings.clone(), config.seed, Some(Box::new(dialer)))?;
     config.dial_limits.into_iter().for_each(|limits| core.set_dial_limits(fleet, limits));
@@ -127,14 +127,14 @@
         let listen = listener.local_addr().map_err(|e| e.to_string())?;
         let admin = Arc::new(Admin {
             figures: operation.figures.clone(),
-            hand: operation.hand.clone(),
+            suspensions: operation.suspensions.clone(),
             inbox: inbox.clone(),
             table: Table::new(admin::CONNECTIONS),
         });
         may::go!(move || admin::accept(admin, &listener));
         tracing::info!("{}: admin on {listen}", config.name);
     }
-    handover::keep(kept, operation.hand.clone(), inbox.clone());
+    handover::keep(kept, operation.suspensions.clone(), inbox.clone());
     if inherited {
         core.set_relay(relay::start(&config.name, front.site.clone(), inbox.clone()));
     }
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -2,8 +2,8 @@
 //! posts what it decides. Only here does an upstream request end: with one verdict for each send.
 
 mod attempts;
+mod control_requests;
 mod dial_queue;
-mod errands;
 mod hosts;
 mod operation;
 mod steps;
@@ -20,7 +20,7 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::mpsc::RecvTimeoutError;
 
-use errands::Unsent;
+use control_requests::UnsentWithdrawal;
 pub use operation::Operation;
 
 /// After the deadline, a stream that the decisions have not answered is answered here.
@@ -109,7 +109,7 @@
     /// How long its connection had idled, if it is a kept one.
     idle: Option<Micros>,
     /// What it asks for, if it is no attempt.
-    errand: Option<Ask>,
+    control: Option<Ask>,
     /// The host has said that it has it.
     taken: bool,
     /// Its verdict is given, or none is owed.
@@ -132,7 +132,7 @@
             sent: 0,
             link: None,
             idle: None,
-            errand: None,
+            control: None,
             taken: false,
             ended: false,
             quit: false,
@@ -186,7 +186,7 @@
     /// Attempts given up before their host had said that it has them, until their connections say what became of them.
     abandoned: HashMap<UpstreamId, (FleetId, WorkerId, Arc<Payload>)>,
     /// Withdrawals that have not arrived, the next one due first.
-    unsent: VecDeque<Unsent>,
+    unsent: VecDeque<UnsentWithdrawal>,
     /// Hosts whose dial queue is not empty.
     dial_queues: BTreeSet<(FleetId, WorkerId)>,
     /// Where the latest draw came from.
@@ -203,7 +203,7 @@
     operation: Operation,
     /// Where call-backs of streams that are not here go, where another process may have them.
     relay: Option<Box<dyn Relay>>,
-    hand_seen: u64,
+    suspensions_seen: u64,
     told: BTreeSet<WorkerId>,
     published: Micros,
     /// How far the start has come.
@@ -241,7 +241,7 @@
             turn: 0,
             operation,
             relay: None,
-            hand_seen: 0,
+            suspensions_seen: 0,
             told: Default::default(),
             published: 0,
             start: Start::begin(now, false),
@@ -305,11 +305,11 @@
             }
             let now = clock::now();
             self.fire_due(now);
-            self.withdraw_again(now);
+            self.send_unsent_withdrawals(now);
             self.serve_dial_queues(now);
             self.draw(now);
             // Fleets may share hosts: none has the first word on those that become free each time.
-            self.by_hand();
+            self.apply_suspensions();
             self.turn = (self.turn + 1) % self.fleets.len();
             (self.turn..self.fleets.len()).chain(0..self.turn).for_each(|f| self.step(f, now));
             self.sweep(now);
--- a/dispatcher/src/memory/core/attempts.rs
+++ b/dispatcher/src/memory/core/attempts.rs
@@ -12,7 +12,7 @@
         if let Some((fleet, host, payload)) = self.abandoned.remove(&id)
             && matches!(heard, Heard::Taken)
         {
-            self.errand(fleet, host, Ask::Withdraw(payload), Some(Need::Errand), None);
+            self.send_control(fleet, host, Ask::Withdraw(payload), Some(Need::Control), None);
         }
         let Some(up) = self.upstreams.get_mut(&id) else { return };
         let (fleet, host) = (up.fleet, up.host);
@@ -29,7 +29,7 @@
             self.fleets[fleet].hosts.get_mut(&host).iter_mut().for_each(|h| h.dial_limiter.record_accepted());
         }
         let Some(up) = self.upstreams.get_mut(&id) else { return };
-        let preconnect = matches!(up.errand, Some(Ask::Preconnect));
+        let preconnect = matches!(up.control, Some(Ask::Preconnect));
         match link {
             LinkIs::Busy => {}
             LinkIs::Closed => up.link = None,
@@ -80,19 +80,19 @@
                     self.drop_upstream(gone);
                 }
             }
-            Heard::Broken => match self.upstreams.get_mut(&id).and_then(|u| u.errand.take()) {
+            Heard::Broken => match self.upstreams.get_mut(&id).and_then(|u| u.control.take()) {
                 // On a kept connection that tells nothing of the host: again, on a new one.
                 Some(ask) if kept.is_some() => {
                     let withdraws = self.upstreams.get_mut(&id).and_then(|u| u.withdraws.take());
-                    self.errand(fleet, host, ask, None, withdraws);
+                    self.send_control(fleet, host, ask, None, withdraws);
                 }
-                Some(Ask::Probe) => self.unanswered(fleet, host),
+                Some(Ask::Probe) => self.probe_failed(fleet, host),
                 _ => {}
             },
             Heard::ConnectionRejected(written) => self.connection_rejected(id, written),
             Heard::Nothing => {}
         }
-        self.withdraw_later(id);
+        self.retry_withdrawal(id);
         let lost = |u: &Upstream| u.link.is_none() && !u.taken && !u.ended && !u.waits;
         if self.upstreams.get(&id).is_some_and(lost) {
             self.end(id, Outcome::Reset, Gauge::default(), Vec::new());
@@ -218,7 +218,7 @@
         self.end(id, outcome, Gauge::default(), Vec::new());
         self.drop_upstream(id);
         if let Some(payload) = payload.filter(|_| taken && !resident) {
-            self.errand(fleet, host, Ask::Withdraw(payload), Some(Need::Errand), None);
+            self.send_control(fleet, host, Ask::Withdraw(payload), Some(Need::Control), None);
         }
     }
 
--- a/dispatcher/src/memory/core/dial_queue.rs
+++ b/dispatcher/src/memory/core/dial_queue.rs
@@ -113,7 +113,7 @@
         host.dial_limiter.record_dial(limits, now);
         if rejected_recently(fleet.closed, now) && need(&fleet.set, first.class) == Need::Once {
             host.preconnecting = true;
-            return self.errand(f, worker, Ask::Preconnect, None, None);
+            return self.send_control(f, worker, Ask::Preconnect, None, None);
         }
         let Some(mut request) = host.dial_queue.pop_front() else { return };
         request.connect_by = connect_by;
@@ -146,9 +146,9 @@
         self.fleets[f].closed = Some(clock::now());
         let Some(host) = self.fleets[f].hosts.get_mut(&worker) else { return };
         host.dial_limiter.record_rejected(clock::now(), jitter);
-        if let Some(ask) = up.errand.take() {
+        if let Some(ask) = up.control.take() {
             if matches!(ask, Ask::Probe) {
-                self.unanswered(f, worker);
+                self.probe_failed(f, worker);
             }
             return;
         }
@@ -181,7 +181,7 @@
     match class.map(|c| set.classes[c].effect) {
         Some(Effect::Safe) => Need::Repeatable,
         Some(_) => Need::Once,
-        None => Need::Errand,
+        None => Need::Control,
     }
 }
 
--- a/dispatcher/src/memory/core/hosts.rs
+++ b/dispatcher/src/memory/core/hosts.rs
@@ -5,7 +5,7 @@
 
 impl Core {
     pub(super) fn list(&mut self, f: FleetId, mode: ListMode, hosts: Vec<ListedHost>) {
-        self.operation.hand.listed(hosts.iter().map(|h| h.uid.as_str()));
+        self.operation.suspensions.note_listed(hosts.iter().map(|h| h.uid.as_str()));
         // What a host that came to us took no notice of before it left has not run.
         for listed in hosts.iter().filter(|h| h.entry.state == Listed::Gone && h.endpoint.is_none()) {
             let here = |u: &Upstream| u.fleet == f && u.host == listed.entry.worker && !u.taken && !u.ended;
--- a/dispatcher/src/memory/core/operation.rs
+++ b/dispatcher/src/memory/core/operation.rs
@@ -1,8 +1,8 @@
-//! What the owner does for daily operation: it tells the decisions of workers out by hand, and keeps the figures
+//! What the owner does for daily operation: it tells the decisions of suspended workers, and keeps the figures
 //! that only it knows (the list, and what the decisions avoid) where the admin address reads them.
 
 use super::*;
-use crate::memory::hand::ByHand;
+use crate::memory::suspensions::Suspensions;
 use roselock_operation::figures::{End, Figures};
 
 /// The figures of the list are set anew at most so often, in microseconds: a reader may see them 0.5 s old.
@@ -13,14 +13,14 @@
 pub struct Operation {
     /// The figures of `METRICS`.
     pub figures: Arc<Figures>,
-    /// Workers out by hand.
-    pub hand: Arc<ByHand>,
+    /// Workers that staff has suspended.
+    pub suspensions: Arc<Suspensions>,
 }
 
 impl Operation {
     /// For classes of these names.
     pub fn new(classes: Vec<String>) -> Operation {
-        Operation { figures: Arc::new(Figures::new(classes)), hand: Arc::default() }
+        Operation { figures: Arc::new(Figures::new(classes)), suspensions: Arc::default() }
     }
 }
 
@@ -34,9 +34,11 @@
 }
 
 impl Core {
-    /// Tells each fleet's decisions what changed of the workers out by hand since the last time.
-    pub(super) fn by_hand(&mut self) {
-        let Some((generation, out)) = self.operation.hand.take(self.hand_seen) else { return };
+    /// Tells each fleet's decisions which workers were suspended or restored since the last time.
+    pub(super) fn apply_suspensions(&mut self) {
+        let Some((generation, out)) = self.operation.suspensions.changed_since(self.suspensions_seen) else {
+            return;
+        };
         for fleet in &mut self.fleets {
             let taken = out.difference(&self.told).map(|w| Event::Suspend { worker: *w, out: true });
             let back = self.told.difference(&out).map(|w| Event::Suspend { worker: *w, out: false });
@@ -44,8 +46,8 @@
         }
         self.clear_dial_queues(|host| out.contains(&host.entry.worker));
         (0..self.fleets.len()).for_each(|f| self.hold_back_at(f, |host| out.contains(&host.entry.worker)));
-        (self.told, self.hand_seen, self.published) = (out, generation, 0);
-        self.operation.hand.told(generation);
+        (self.told, self.suspensions_seen, self.published) = (out, generation, 0);
+        self.operation.suspensions.mark_applied(generation);
     }
 
     /// The list service has told of a fleet that it knows.
--- a/dispatcher/src/memory/core/steps.rs
+++ b/dispatcher/src/memory/core/steps.rs
@@ -52,7 +52,7 @@
                 let out = self.streams.get(&job.0).and_then(|s| s.out);
                 if let Some(id) = out.filter(|id| self.upstreams[id].round == round) {
                     if self.streams.get(&job.0).is_some_and(|s| !s.answered) {
-                        self.call_off(id);
+                        self.cancel_attempt(id);
                     } else {
                         self.give_up(id, Outcome::Cancelled);
                     }
@@ -66,7 +66,7 @@
                 self.operation.figures.start(&self.start, None);
                 self.fleets[f].dialer.iter().for_each(|d| d.watch());
             }
-            Action::Probe(worker) => self.errand(f, worker, Ask::Probe, Some(Need::Errand), None),
+            Action::Probe(worker) => self.send_control(f, worker, Ask::Probe, Some(Need::Control), None),
             Action::Close(worker) => {
                 if let Some(host) = self.fleets[f].hosts.get_mut(&worker) {
                     host.pool.clear();
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -3,8 +3,8 @@
 
 pub mod clock;
 pub mod core;
-pub mod hand;
 pub mod pool;
+pub mod suspensions;
 
 use roselock::{ClassId, FleetEntry, Gauge, KeyId, ListMode, Micros, Outcome, Settings, TenantId, WorkerId};
 use std::net::SocketAddr;
--- a/dispatcher/src/memory/pool.rs
+++ b/dispatcher/src/memory/pool.rs
@@ -52,7 +52,7 @@
     /// Since when a connection may have idled: for what does no harm, for what may be repeated, for what may not.
     pub fn since(&self, now: Micros, need: Need) -> Micros {
         let span = match need {
-            Need::Errand => self.told,
+            Need::Control => self.told,
             Need::Repeatable => self.limit,
             // A little more than has worked, or it would never grow where nothing else is sent.
             Need::Once => self.limit.min(self.proven * 2 + IDLE),
@@ -65,7 +65,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Need {
     /// A probe or a withdrawal: it tries the oldest connection.
-    Errand,
+    Control,
     /// An attempt that may be sent again.
     Repeatable,
     /// One that may not.
@@ -83,12 +83,12 @@
 
 impl Pool {
     /// Takes one that is still open, has rested and fell idle after `since`, with when it did: the latest, or for an
-    /// errand the oldest.
+    /// control request the oldest.
     pub fn take(&mut self, now: Micros, since: Micros, need: Need) -> Option<(Micros, Arc<dyn Link>)> {
         self.idle.retain(|i| i.2.is_open());
         let rested = |i: &Idle| i.1 <= now;
         let at = match need {
-            Need::Errand => self.idle.iter().position(rested),
+            Need::Control => self.idle.iter().position(rested),
             _ => self.idle.iter().rposition(rested).filter(|at| self.idle[*at].0 >= since),
         };
         self.idle.remove(at?).map(|(since, _, link)| (since, link))
@@ -106,7 +106,7 @@
             self.idle.pop_front();
         }
     }
-    /// Keeps but one of those that fell idle before `since`, too long ago for attempts: for errands.
+    /// Keeps but one of those that fell idle before `since`, too long ago for attempts: for control requests.
     pub fn thin(&mut self, since: Micros) {
         while self.idle.get(1).is_some_and(|i| i.0 < since) {
             self.idle.pop_front();
--- a/dispatcher/src/memory/pool_tests.rs
+++ b/dispatcher/src/memory/pool_tests.rs
@@ -22,7 +22,7 @@
     assert_eq!(span(&trust, Need::Repeatable, WARY), 300_000);
     trust.worked(800_000, WARY + 1);
     assert_eq!(span(&trust, Need::Once, WARY + 1), 800_000);
-    assert_eq!(span(&trust, Need::Errand, WARY + 1), 10_000_000);
+    assert_eq!(span(&trust, Need::Control, WARY + 1), 10_000_000);
 }
 
 struct Open;
@@ -39,7 +39,7 @@
 #[rstest]
 #[case::repeatable(Need::Repeatable, &[300, 100])]
 #[case::once(Need::Once, &[300, 100])]
-#[case::errand(Need::Errand, &[100, 300])]
+#[case::control(Need::Control, &[100, 300])]
 fn a_connection_rests_after_an_answer_that_may_come_twice(#[case] need: Need, #[case] order: &[Micros]) {
     let mut pool = Pool::default();
     pool.put(Arc::new(Open), 100, 0);
--- a/dispatcher/src/wire/admin.rs
+++ b/dispatcher/src/wire/admin.rs
@@ -5,7 +5,7 @@
 use super::http::by;
 use super::socket::Socket;
 use super::table::{Rank, Table};
-use crate::memory::hand::{ByHand, Done};
+use crate::memory::suspensions::{SetResult, Suspensions};
 use crate::memory::{Inbox, clock};
 use may::net::{TcpListener, TcpStream};
 use roselock::{Micros, SECOND};
@@ -30,8 +30,8 @@
 pub struct Admin {
     /// The figures of `METRICS`.
     pub figures: Arc<Figures>,
-    /// Workers out by hand.
-    pub hand: Arc<ByHand>,
+    /// Workers that staff has suspended.
+    pub suspensions: Arc<Suspensions>,
     /// Whether the process can serve, and the way to wake the owner.
     pub inbox: Inbox,
     /// Its connections.
@@ -97,13 +97,13 @@
 
 fn change(admin: &Admin, id: &str, out: bool) -> String {
     let (done, undone) = if out { ("out", "was out") } else { ("back", "was not out") };
-    match admin.hand.set(id, out) {
+    match admin.suspensions.set(id, out) {
         Err(why) => format!("-ERR {id}: {why}\n"),
-        Ok(Done::Already) => format!("+OK {id} {undone}\n"),
-        Ok(Done::Changed(generation)) => {
+        Ok(SetResult::Unchanged) => format!("+OK {id} {undone}\n"),
+        Ok(SetResult::Changed(generation)) => {
             admin.inbox.nudge();
             let until = by(TOLD_WITHIN);
-            while admin.hand.applied() < generation && clock::now() < until {
+            while admin.suspensions.applied() < generation && clock::now() < until {
                 may::coroutine::sleep(Duration::from_millis(1));
             }
             format!("+OK {id} {done}\n")
