Wire: the field's names for letters, parting, stranger and turn

Need: the last names of this house in the connections' code. `Rank::Stranger` is a connection that has not identified itself by a valid message, `parting` means that connections are closed after their next answer, a `Letter` is a message to a writer.

Change, without any of behaviour: `OutboxMessage`, `AnswerSender`, `Exchange`, `Rank::{Closing, Unidentified, Idle}` (their order stays), `Inbox::closes_connections`; local names follow.

--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -314,13 +314,13 @@
             (self.turn..self.fleets.len()).chain(0..self.turn).for_each(|f| self.step(f, now));
             self.sweep(now);
             self.publish(now);
-            let parting = self.inbox.parting();
-            if parting {
+            let closing = self.inbox.closes_connections();
+            if closing {
                 self.feeds.iter().for_each(|f| f.part());
             }
             // From the last moment on those who still come are refused at once.
             let late = self.inbox.stopping().is_some_and(|at| now - at >= self.inbox.out_by());
-            if parting
+            if closing
                 && self.streams.values().all(|s| s.answered)
                 && self.inbox.unwritten() == 0
                 && (late || now - self.arrived >= QUIET)
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -402,8 +402,8 @@
     pub fn ends_by(&self) -> Micros {
         self.stopping().map_or(Micros::MAX, |at| at + self.out_by() + MARGIN / 2)
     }
-    /// Whether that word was so long ago that connections are not kept any more.
-    pub fn parting(&self) -> bool {
+    /// Whether the word to stop came so long ago that connections are closed after their next answer.
+    pub fn closes_connections(&self) -> bool {
         self.stopping().is_some_and(|at| clock::now() - at >= self.out_by() * LINGER.0 / LINGER.1)
     }
     /// Posts a stream; false where none is taken any more, and nothing was done.
--- a/dispatcher/src/wire/admin.rs
+++ b/dispatcher/src/wire/admin.rs
@@ -48,7 +48,7 @@
     let socket = Socket::new(stream);
     let mut lines = Lines::default();
     let mut buffer = [0; 512];
-    let (mut spare, mut due) = (admin.table.spare(Rank::Stranger, &socket), by(CALL_WITHIN));
+    let (mut spare, mut due) = (admin.table.spare(Rank::Unidentified, &socket), by(CALL_WITHIN));
     loop {
         loop {
             let answer = match lines.line() {
--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -19,7 +19,7 @@
 const TRANSFER: Micros = 10 * SECOND;
 /// How long a connection that said its last word waits for the client's next byte or its close, in all, and how many
 /// bytes it reads and drops meanwhile.
-const PARTING: Micros = SECOND / 2;
+const CLOSING_TIMEOUT: Micros = SECOND / 2;
 const PARTED: Micros = 2 * SECOND;
 const PARTING_BYTES: usize = 8 << 20;
 /// Bytes behind a held stream that are kept for its connection's next one. Clients send one request at a time: where
@@ -108,16 +108,16 @@
     tracing::info!("no more connections are taken: the next process takes them on the inherited listener");
 }
 
-/// The way to a connection's writer.
-struct Mailbox {
+/// Sends answers to a connection's writer.
+struct AnswerSender {
     inbox: Inbox,
-    letters: Sender<Answer>,
+    answers: Sender<Answer>,
 }
 
-impl Downstream for Mailbox {
+impl Downstream for AnswerSender {
     fn answer(&self, answer: Answer, _ran: u32) {
         self.inbox.owe_write();
-        if self.letters.send(answer).is_err() {
+        if self.answers.send(answer).is_err() {
             self.inbox.wrote();
         }
     }
@@ -125,9 +125,9 @@
 
 /// A connection's writer, started with its first stream.
 struct Writer {
-    letters: Sender<Answer>,
+    answers: Sender<Answer>,
     written: Receiver<Written>,
-    turn: Arc<Mutex<Turn>>,
+    exchange: Arc<Mutex<Exchange>>,
 }
 
 /// What became of an answer.
@@ -141,10 +141,11 @@
     Broken,
 }
 
-/// Whose turn it is on a connection: the dispatcher's while it holds a stream, then the client's, who may be long
-/// in coming back; from then on the connection may go. The reader only learns of it when more comes in.
+/// The exchange on a connection, as its reader and its writer share it. While the dispatcher holds a stream, the client
+/// waits; after the answer the client may be long in coming back, so the connection may be shed. The reader only learns
+/// of that when more comes in.
 #[derive(Default)]
-struct Turn {
+struct Exchange {
     held: Option<Held>,
     /// The connection ends with this answer.
     close: bool,
@@ -152,21 +153,21 @@
 }
 
 impl Writer {
-    fn turn(&self) -> MutexGuard<'_, Turn> {
-        lock(&self.turn)
+    fn exchange(&self) -> MutexGuard<'_, Exchange> {
+        lock(&self.exchange)
     }
 }
 
 fn start_writer(front: &Arc<Front>, socket: &Socket) -> Writer {
-    let (letters, box_) = channel::<Answer>();
+    let (answers, posted) = channel::<Answer>();
     let (done, written) = channel();
-    let turn = Arc::<Mutex<Turn>>::default();
-    let (front, socket, turns) = (front.clone(), socket.clone(), turn.clone());
+    let exchange = Arc::<Mutex<Exchange>>::default();
+    let (front, socket, shared) = (front.clone(), socket.clone(), exchange.clone());
     may::go!(move || {
-        while let Ok(answer) = box_.recv() {
+        while let Ok(answer) = posted.recv() {
             // Who borrows the id of another's stream need not stay.
             let astray = answer == Answer::Conflict;
-            let close = astray || lock(&turns).close || front.inbox.parting();
+            let close = astray || lock(&shared).close || front.inbox.closes_connections();
             let sent = write_answer(&socket, &answer, close);
             let became = match sent {
                 Ok(()) if close => Written::Closed,
@@ -178,8 +179,9 @@
                 Written::Closed => socket.finish(),
                 Written::Broken => socket.close(),
             }
-            let rank = if close { Rank::Parting } else { Rank::Idle };
-            *lock(&turns) = Turn { spare: Some(front.table.spare(rank, &socket)), ..Turn::default() };
+            let rank = if close { Rank::Closing } else { Rank::Idle };
+            *lock(&shared) =
+                Exchange { spare: Some(front.table.spare(rank, &socket)), ..Exchange::default() };
             // From here on the process may end: the connection is among those that are told so.
             front.inbox.wrote();
             if done.send(became).is_err() {
@@ -187,7 +189,7 @@
             }
         }
     });
-    Writer { letters, written, turn }
+    Writer { answers, written, exchange }
 }
 
 fn write_answer(socket: &Socket, answer: &Answer, close: bool) -> std::io::Result<()> {
@@ -214,12 +216,12 @@
     // Something that came behind a stream was not kept.
     let mut dropped = false;
     // Until it has sent a stream or a call-back, it is among the first to go where there are too many.
-    let mut stranger = Some(front.table.spare(Rank::Stranger, &socket));
+    let mut unidentified = Some(front.table.spare(Rank::Unidentified, &socket));
     // Until it has sent anything that makes sense, it has this long.
     let mut hello = Some(by(HELLO));
     loop {
         // While a stream is held, this watches for the client's leaving, whatever has come behind the stream.
-        let filled = match (reader.is_empty(), &pending, &stranger) {
+        let filled = match (reader.is_empty(), &pending, &unidentified) {
             (true, Some(_), _) => reader.fill(by(IDLE)),
             (false, Some(_), _) => read_ahead(&mut reader, writer.as_ref(), &mut dropped),
             (false, None, _) => Ok(true),
@@ -239,12 +241,12 @@
                 (_, Some(became)) => became,
                 (Ok(true) | Err(Bad::Late), None) => continue,
                 _ => {
-                    writer.turn().held = None;
+                    writer.exchange().held = None;
                     front.inbox.post(Input::Left(stream));
                     return;
                 }
             };
-            let kept = writer.turn().spare.take().is_some_and(Spare::keep);
+            let kept = writer.exchange().spare.take().is_some_and(Spare::keep);
             match became {
                 Written::Broken => return,
                 Written::Kept if kept && !dropped => pending = None,
@@ -276,7 +278,7 @@
                 };
                 let held = reader.held().iter().take(160).copied().collect::<Vec<u8>>();
                 tracing::debug!(%peer, status, first = hello.is_some(), held = %held.escape_ascii(), "request not read whole: {bad:?}");
-                if http::respond(&socket, status, after(status), b"", true, by(PARTING)).is_ok() {
+                if http::respond(&socket, status, after(status), b"", true, by(CLOSING_TIMEOUT)).is_ok() {
                     part(front, &socket, &mut reader);
                 }
                 return;
@@ -284,19 +286,19 @@
         };
         let close = message.close;
         let came = clock::now();
-        match route(front, (message, bulk), (came, peer), (&socket, &mut writer, &mut stranger)) {
+        match route(front, (message, bulk), (came, peer), (&socket, &mut writer, &mut unidentified)) {
             Routed::Held(stream) => (pending, hello) = (Some(stream), None),
             Routed::Shed => return part(front, &socket, &mut reader),
             Routed::Reply(status, more, body) => {
                 // Whose first word made no sense need not stay.
                 let astray = hello.is_some() && (400..500).contains(&status);
-                let close = close || astray || front.inbox.parting();
-                let sent = http::respond(&socket, status, more, body.as_bytes(), close, by(PARTING));
+                let close = close || astray || front.inbox.closes_connections();
+                let sent = http::respond(&socket, status, more, body.as_bytes(), close, by(CLOSING_TIMEOUT));
                 if close || sent.is_err() {
                     return part(front, &socket, &mut reader);
                 }
                 hello = None;
-                stranger.take_if(|_| status == CALLED_BACK);
+                unidentified.take_if(|_| status == CALLED_BACK);
             }
         }
     }
@@ -313,16 +315,16 @@
         return reader.fill(by(BEHIND));
     }
     *dropped = true;
-    writer.into_iter().for_each(|w| w.turn().close = true);
+    writer.into_iter().for_each(|w| w.exchange().close = true);
     reader.skip(by(BEHIND))
 }
 
 /// Lets the last answer arrive: closing with bytes unread would reset the connection under it.
 fn part(front: &Arc<Front>, socket: &Socket, reader: &mut Reader) {
-    let _spare = front.table.spare(Rank::Parting, socket);
+    let _spare = front.table.spare(Rank::Closing, socket);
     socket.finish();
     let (last, mut left) = (by(PARTED), PARTING_BYTES);
-    while left > 0 && reader.skip(by(PARTING).min(last)) == Ok(true) {
+    while left > 0 && reader.skip(by(CLOSING_TIMEOUT).min(last)) == Ok(true) {
         left = left.saturating_sub(reader.held().len());
     }
 }
@@ -337,7 +339,7 @@
     front: &Arc<Front>,
     (message, bulk): (Message, Bulk),
     from: (Micros, SocketAddr),
-    (socket, writer, stranger): (&Socket, &mut Option<Writer>, &mut Option<Spare>),
+    (socket, writer, unidentified): (&Socket, &mut Option<Writer>, &mut Option<Spare>),
 ) -> Routed {
     let (method, target) = (message.text(&message.method), message.text(&message.target));
     let path = target.split('?').next().unwrap_or("");
@@ -362,17 +364,17 @@
         return Routed::Reply(503, after(503), "");
     };
     // Whose request is passed on has to stay for the answer.
-    if stranger.take().is_some_and(|s| !s.keep()) {
+    if unidentified.take().is_some_and(|s| !s.keep()) {
         return Routed::Shed;
     }
     let writer = writer.get_or_insert_with(|| start_writer(front, socket));
-    (writer.turn().held, writer.turn().close) = (Some(held), close);
+    (writer.exchange().held, writer.exchange().close) = (Some(held), close);
     let (id, class) = (front.inbox.stream_id(), new.class);
-    let downstream = Mailbox { inbox: front.inbox.clone(), letters: writer.letters.clone() };
+    let downstream = AnswerSender { inbox: front.inbox.clone(), answers: writer.answers.clone() };
     let new = NewStream { id, downstream: Box::new(downstream), ..new };
     if !front.inbox.enter(Box::new(new)) {
         // The process ends, and this stream came a moment too late.
-        writer.turn().held = None;
+        writer.exchange().held = None;
         front.figures.ended(class.0 as usize, End::Deferred, false);
         return Routed::Reply(503, after(503), "");
     }
--- a/dispatcher/src/wire/gearman/connection.rs
+++ b/dispatcher/src/wire/gearman/connection.rs
@@ -1,6 +1,6 @@
 //! One connection: bytes in, packets heeded, answers out.
 
-use super::outbox::{self, Letter, Outbox};
+use super::outbox::{self, Outbox, OutboxMessage};
 use super::{Gearman, Peer, TRANSFER, admin, error, jobs, lock, reply};
 use crate::wire::http::by;
 use crate::wire::socket::Socket;
@@ -32,12 +32,12 @@
 
 fn serve(front: &Arc<Gearman>, stream: TcpStream, address: SocketAddr) {
     let socket = Socket::new(stream);
-    let (letters, box_) = channel();
+    let (messages, posted) = channel();
     let number = front.next_peer.fetch_add(1, Ordering::SeqCst);
     let peer = Arc::new(Peer {
         number,
         address,
-        outbox: Outbox::new(letters, socket.clone(), front.figures.outbox),
+        outbox: Outbox::new(messages, socket.clone(), front.figures.outbox),
         name: Mutex::default(),
         worker: Mutex::default(),
         timed: AtomicI64::new(0),
@@ -45,13 +45,13 @@
     });
     lock(&front.peers).insert(number, peer.clone());
     let (writing, writer, out) = (front.clone(), peer.clone(), socket.clone());
-    may::go!(move || outbox::write(&writing, &writer, &out, &box_));
+    may::go!(move || outbox::write(&writing, &writer, &out, &posted));
     read(front, &peer, &socket);
     // Whatever it ran or waited for, it is gone.
     lock(&front.peers).remove(&number);
     peer.leave(front);
     jobs::leave(front, &peer);
-    let _ = peer.outbox.post(Letter::End);
+    let _ = peer.outbox.post(OutboxMessage::End);
     if !peer.outbox.has_overflown() {
         socket.close();
     }
@@ -66,14 +66,15 @@
     let mut exceptions = false;
     // Until it has sent a packet it has this long, and is among the first to go where there are too many.
     let hello = by(HELLO);
-    let mut stranger = Some(front.table.spare(Rank::Stranger, socket));
+    let mut unidentified = Some(front.table.spare(Rank::Unidentified, socket));
     let mut whole_by = 0;
     loop {
         let engaged =
             lock(&peer.worker).is_worker() || lock(&front.jobs).backlog.jobs_awaited_by(peer.number) > 0;
         let inside = decoder.is_inside();
-        let idle = (stranger.is_none() && !engaged && !inside).then(|| front.table.spare(Rank::Idle, socket));
-        let until = match (&stranger, inside) {
+        let idle =
+            (unidentified.is_none() && !engaged && !inside).then(|| front.table.spare(Rank::Idle, socket));
+        let until = match (&unidentified, inside) {
             (Some(_), _) => hello,
             (_, true) => whole_by,
             (_, false) => by(IDLE),
@@ -89,7 +90,9 @@
         let n = match came {
             Ok(0) => return,
             Ok(n) => n,
-            Err(e) if e.kind() == ErrorKind::TimedOut && stranger.is_none() && !inside && engaged => continue,
+            Err(e) if e.kind() == ErrorKind::TimedOut && unidentified.is_none() && !inside && engaged => {
+                continue;
+            }
             Err(_) => return,
         };
         if !decoder.is_inside() {
@@ -113,7 +116,7 @@
                 }
                 continue;
             }
-            if !stranger.take().is_none_or(Spare::keep) {
+            if !unidentified.take().is_none_or(Spare::keep) {
                 return;
             }
             whole_by = by(INCOMING);
--- a/dispatcher/src/wire/gearman/mod.rs
+++ b/dispatcher/src/wire/gearman/mod.rs
@@ -19,7 +19,7 @@
 use file::Registry;
 pub use jobs::Queue;
 use jobs::Seat;
-use outbox::{Letter, Outbox, Tail};
+use outbox::{Outbox, OutboxMessage, Tail};
 use roselock::settings::Site;
 use roselock::{Micros, SECOND};
 use roselock_backlog::Backlog;
--- a/dispatcher/src/wire/gearman/outbox.rs
+++ b/dispatcher/src/wire/gearman/outbox.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
-/// Letters that are written together.
+/// Most messages that are written together.
 const TOGETHER: usize = 32;
 
 /// What follows a packet's first bytes, shared with whoever else is sent it.
@@ -33,8 +33,8 @@
     }
 }
 
-/// What is posted to a connection's writer.
-pub enum Letter {
+/// A message to a connection's writer.
+pub enum OutboxMessage {
     /// A packet to write; the last word on a job if so marked.
     Write(Vec<u8>, Tail, bool),
     /// An upstream request for the worker here.
@@ -47,7 +47,7 @@
 
 /// The near end. Posting never waits.
 pub struct Outbox {
-    letters: Sender<Letter>,
+    messages: Sender<OutboxMessage>,
     socket: Socket,
     waiting: AtomicUsize,
     most: usize,
@@ -56,8 +56,8 @@
 
 impl Outbox {
     /// One for a connection, with most bytes that may wait.
-    pub fn new(letters: Sender<Letter>, socket: Socket, most: usize) -> Outbox {
-        Outbox { letters, socket, waiting: AtomicUsize::new(0), most, overflown: AtomicBool::new(false) }
+    pub fn new(messages: Sender<OutboxMessage>, socket: Socket, most: usize) -> Outbox {
+        Outbox { messages, socket, waiting: AtomicUsize::new(0), most, overflown: AtomicBool::new(false) }
     }
     /// Bytes that wait.
     pub fn waiting(&self) -> usize {
@@ -84,7 +84,7 @@
             }
             return false;
         }
-        self.letters.send(Letter::Write(head, tail, last)).is_ok()
+        self.messages.send(OutboxMessage::Write(head, tail, last)).is_ok()
     }
     /// Posts a packet that is news only: dropped where its peer reads too slowly.
     pub fn tell(&self, head: Vec<u8>) {
@@ -93,33 +93,33 @@
         }
     }
     /// Posts anything else.
-    pub fn post(&self, letter: Letter) -> bool {
-        self.letters.send(letter).is_ok()
+    pub fn post(&self, message: OutboxMessage) -> bool {
+        self.messages.send(message).is_ok()
     }
 }
 
-/// The writer. It ends after the reader, with [`Letter::End`].
-pub fn write(front: &Arc<Gearman>, peer: &Arc<Peer>, socket: &Socket, box_: &Receiver<Letter>) {
+/// The writer. It ends after the reader, with [`OutboxMessage::End`].
+pub fn write(front: &Arc<Gearman>, peer: &Arc<Peer>, socket: &Socket, posted: &Receiver<OutboxMessage>) {
     let mut open = true;
     let mut batch: Vec<(Vec<u8>, Tail, bool)> = Vec::with_capacity(TOGETHER);
     let mut ended = false;
     while !ended {
-        let Ok(mut letter) = box_.recv() else { break };
+        let Ok(mut message) = posted.recv() else { break };
         loop {
-            match letter {
-                Letter::Write(head, tail, last) => batch.push((head, tail, last)),
-                Letter::Start(request, function) => {
+            match message {
+                OutboxMessage::Write(head, tail, last) => batch.push((head, tail, last)),
+                OutboxMessage::Start(request, function) => {
                     let woken = peer.engage(front, request, function);
                     batch.extend(woken.map(|bytes| (bytes, Tail::None, false)));
                 }
-                Letter::Abort(id) => peer.release(front, id),
-                Letter::End => ended = true,
+                OutboxMessage::Abort(id) => peer.release(front, id),
+                OutboxMessage::End => ended = true,
             }
             if ended || batch.len() >= TOGETHER {
                 break;
             }
-            let Ok(next) = box_.try_recv() else { break };
-            letter = next;
+            let Ok(next) = posted.try_recv() else { break };
+            message = next;
         }
         let parts: Vec<&[u8]> = batch.iter().flat_map(|(head, tail, _)| [&head[..], tail.bytes()]).collect();
         if open && !parts.is_empty() && socket.write(&parts, by(TRANSFER)).is_err() {
@@ -138,10 +138,10 @@
         }
     }
     // What was posted meanwhile finds nobody: attempts never ran, answers have no reader.
-    while let Ok(letter) = box_.try_recv() {
-        match letter {
-            Letter::Write(_, _, true) => front.inbox.wrote(),
-            Letter::Start(request, _) => worker::never_ran(front, Held::id_of(&request), true),
+    while let Ok(message) = posted.try_recv() {
+        match message {
+            OutboxMessage::Write(_, _, true) => front.inbox.wrote(),
+            OutboxMessage::Start(request, _) => worker::never_ran(front, Held::id_of(&request), true),
             _ => {}
         }
     }
--- a/dispatcher/src/wire/gearman/worker.rs
+++ b/dispatcher/src/wire/gearman/worker.rs
@@ -1,6 +1,6 @@
 //! The workers' side: a connection that registers a function is an upstream host of that function's fleet.
 
-use super::{Gearman, Letter, Peer, Tail, error, lock, reply};
+use super::{Gearman, OutboxMessage, Peer, Tail, error, lock, reply};
 use crate::memory::{
     Ask, Heard, Input, Link, LinkIs, ListedHost, Payload, Saying, UpstreamId, UpstreamRequest, clock,
 };
@@ -64,10 +64,10 @@
 
 impl Link for WorkerLink {
     fn start(&self, request: UpstreamRequest) -> bool {
-        self.peer.outbox.post(Letter::Start(request, self.function))
+        self.peer.outbox.post(OutboxMessage::Start(request, self.function))
     }
     fn abort(&self, id: UpstreamId) {
-        let _ = self.peer.outbox.post(Letter::Abort(id));
+        let _ = self.peer.outbox.post(OutboxMessage::Abort(id));
     }
     fn resident(&self) -> bool {
         true
--- a/dispatcher/src/wire/table.rs
+++ b/dispatcher/src/wire/table.rs
@@ -24,10 +24,10 @@
 /// Which connections go first where there are too many; of equals the oldest.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rank {
-    /// It has had its last word.
-    Parting,
-    /// It has never sent anything that was of use.
-    Stranger,
+    /// Its last message has been sent: it is closing.
+    Closing,
+    /// It has not sent a valid message yet.
+    Unidentified,
     /// It is between requests.
     Idle,
 }
@@ -108,14 +108,14 @@
     }
 
     /// One goes for one that came. It ends by an event of its socket, which the runtime looks for when nothing else
-    /// runs, and counts until then. Those that are busy may soon be strangers to be shed, so who is between
-    /// requests waits a little longer.
+    /// runs, and counts until then. Some of them may soon be found not to have identified themselves, so a
+    /// connection between requests is kept a little longer.
     fn make_room(&self) {
-        let (mut owed, mut waited) = (!self.shed(Rank::Stranger), 0);
+        let (mut owed, mut waited) = (!self.shed(Rank::Unidentified), 0);
         while self.open.load(Ordering::SeqCst) >= self.most + OVER {
             may::coroutine::sleep(Duration::from_millis(1));
             waited += 1;
-            let up_to = if waited < PATIENT { Rank::Stranger } else { Rank::Idle };
+            let up_to = if waited < PATIENT { Rank::Unidentified } else { Rank::Idle };
             owed = owed && !self.shed(up_to);
         }
     }
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -30,7 +30,7 @@
 
 impl Dialer for HttpDialer {
     fn dial(&self, endpoint: SocketAddr, request: UpstreamRequest) -> Arc<dyn Link> {
-        let (letters, box_) = channel();
+        let (requests, posted) = channel();
         let state = Arc::new(Mutex::new(State::Opening));
         let connection = Connection {
             endpoint,
@@ -43,10 +43,10 @@
         self.open.fetch_add(1, Ordering::SeqCst);
         let open = self.open.clone();
         may::go!(move || {
-            connection.run(request, &box_);
+            connection.run(request, &posted);
             open.fetch_sub(1, Ordering::SeqCst);
         });
-        Arc::new(HttpLink { letters, state })
+        Arc::new(HttpLink { requests, state })
     }
     fn room(&self, ask: &Ask) -> bool {
         let kept = if matches!(ask, Ask::Withdraw(_)) { 0 } else { self.most / 8 };
@@ -65,13 +65,13 @@
 }
 
 struct HttpLink {
-    letters: Sender<UpstreamRequest>,
+    requests: Sender<UpstreamRequest>,
     state: Arc<Mutex<State>>,
 }
 
 impl Link for HttpLink {
     fn start(&self, request: UpstreamRequest) -> bool {
-        self.letters.send(request).is_ok()
+        self.requests.send(request).is_ok()
     }
     fn is_open(&self) -> bool {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -103,7 +103,7 @@
 }
 
 impl Connection {
-    fn run(mut self, first: UpstreamRequest, box_: &Receiver<UpstreamRequest>) {
+    fn run(mut self, first: UpstreamRequest, posted: &Receiver<UpstreamRequest>) {
         let mut next = Some(first);
         while let Some(request) = next {
             let (heard, link) = self.exchange(&request);
@@ -111,7 +111,7 @@
             if link == LinkIs::Closed {
                 return;
             }
-            next = box_.recv().ok();
+            next = posted.recv().ok();
         }
     }
 
