--- /dev/null
+++ b/dispatcher/tests/common/admin.rs
@@ -0,0 +1,35 @@
+//! A caller at the admin address.
+
+use super::connect;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// A caller at the admin address.
+pub struct Admin(BufReader<TcpStream>);
+
+impl Admin {
+    pub fn new(at: SocketAddr) -> Admin {
+        Admin(BufReader::new(connect(at)))
+    }
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.0.get_mut().write_all(bytes).expect("it is written");
+    }
+    /// The next line, without its end; none at the end.
+    pub fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        (self.0.read_line(&mut line).ok()? > 0).then(|| line.trim_end().to_owned())
+    }
+    /// A call and its answer: one line, or for METRICS the lines up to `.`.
+    pub fn call(&mut self, line: &str) -> Vec<String> {
+        self.send(format!("{line}\n").as_bytes());
+        let first = self.line().expect("an answer");
+        if !line.eq_ignore_ascii_case("metrics") || first.starts_with("-ERR") {
+            return vec![first];
+        }
+        let mut lines = vec![first];
+        while let Some(line) = self.line().filter(|l| l != ".") {
+            lines.push(line);
+        }
+        lines
+    }
+}
--- /dev/null
+++ b/dispatcher/tests/common/gearman.rs
@@ -0,0 +1,122 @@
+//! Clients and workers over Gearman, packet by packet.
+
+use super::{PATIENCE, connect};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// One end of a Gearman connection.
+pub struct Gear(pub TcpStream);
+
+impl Gear {
+    pub fn new(to: SocketAddr) -> Gear {
+        Gear(connect(to))
+    }
+    pub fn send(&mut self, kind: u32, args: &[&str]) {
+        self.try_send(kind, args).expect("it is written");
+    }
+    pub fn try_send(&mut self, kind: u32, args: &[&str]) -> std::io::Result<()> {
+        let data = args.join("\0");
+        let mut packet = b"\0REQ".to_vec();
+        packet.extend(kind.to_be_bytes());
+        packet.extend((data.len() as u32).to_be_bytes());
+        packet.extend(data.as_bytes());
+        self.0.write_all(&packet)
+    }
+    pub fn read(&mut self) -> (u32, Vec<String>) {
+        self.try_read().expect("a packet")
+    }
+    /// The next packet, none at the end.
+    pub fn try_read(&mut self) -> Option<(u32, Vec<String>)> {
+        let mut head = [0; 12];
+        self.0.read_exact(&mut head).ok()?;
+        assert_eq!(&head[..4], b"\0RES");
+        let number = |at: usize| u32::from_be_bytes(head[at..at + 4].try_into().expect("four"));
+        let mut data = vec![0; number(8) as usize];
+        self.0.read_exact(&mut data).ok()?;
+        let text = String::from_utf8(data).expect("text");
+        Some((number(4), text.split('\0').map(str::to_owned).collect()))
+    }
+    /// The next packet, which must be of this kind: its arguments.
+    pub fn expect(&mut self, kind: u32) -> Vec<String> {
+        let (got, args) = self.read();
+        assert_eq!(got, kind, "{args:?}");
+        args
+    }
+    /// An administrator's line, and the answer up to its end.
+    pub fn line(&mut self, line: &str, lines: usize) -> Vec<String> {
+        self.0.write_all(format!("{line}\n").as_bytes()).expect("it is written");
+        let reader = BufReader::new(self.0.try_clone().expect("a clone"));
+        reader.lines().take(lines).map(|l| l.expect("a line")).collect()
+    }
+    /// An administrator's line, and the lines of its answer up to a single dot.
+    pub fn lines(&mut self, line: &str) -> Vec<String> {
+        self.0.write_all(format!("{line}\n").as_bytes()).expect("it is written");
+        let reader = BufReader::new(self.0.try_clone().expect("a clone"));
+        reader.lines().map(|l| l.expect("a line")).take_while(|l| l != ".").collect()
+    }
+    /// Asks until the line of an administrator's answer that begins with `of` is the one wanted: what a worker has
+    /// taken reaches the counts by the owner's queue, after the worker was told.
+    pub fn until(&mut self, line: &str, of: &str, wanted: &str) {
+        let start = std::time::Instant::now();
+        loop {
+            let told = self.lines(line).into_iter().find(|l| l.split('\t').next() == Some(of));
+            if told.as_deref() == Some(wanted) {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "{told:?} is not {wanted:?}");
+            std::thread::yield_now();
+        }
+    }
+    /// As a worker: registers, and sleeps until there is a job.
+    pub fn register(&mut self, functions: &[&str]) {
+        functions.iter().for_each(|f| self.send(CAN_DO, &[f]));
+        self.send(ECHO_REQ, &["heard"]);
+        self.expect(ECHO_RES);
+        self.send(PRE_SLEEP, &[]);
+    }
+    /// As a worker: its next job (handle, function, data), none when the connection ends.
+    pub fn next_job(&mut self) -> Option<Vec<String>> {
+        loop {
+            match self.try_read()? {
+                (JOB_ASSIGN, job) => return Some(job),
+                (NO_JOB, _) => self.send(PRE_SLEEP, &[]),
+                _ => self.send(GRAB_JOB, &[]),
+            }
+        }
+    }
+    /// As a worker that sleeps: wakes and takes its job.
+    pub fn take(&mut self) -> Vec<String> {
+        self.next_job().expect("a job")
+    }
+    /// As a client: submits a job; its handle.
+    pub fn submit(&mut self, function: &str, unique: &str, data: &str) -> String {
+        self.send(SUBMIT_JOB, &[function, unique, data]);
+        self.expect(JOB_CREATED).remove(0)
+    }
+}
+
+pub const CAN_DO: u32 = 1;
+pub const CANT_DO: u32 = 2;
+pub const RESET_ABILITIES: u32 = 3;
+pub const PRE_SLEEP: u32 = 4;
+pub const NOOP: u32 = 6;
+pub const SUBMIT_JOB: u32 = 7;
+pub const JOB_CREATED: u32 = 8;
+pub const GRAB_JOB: u32 = 9;
+pub const NO_JOB: u32 = 10;
+pub const JOB_ASSIGN: u32 = 11;
+pub const WORK_STATUS: u32 = 12;
+pub const WORK_COMPLETE: u32 = 13;
+pub const WORK_FAIL: u32 = 14;
+pub const GET_STATUS: u32 = 15;
+pub const ECHO_REQ: u32 = 16;
+pub const ECHO_RES: u32 = 17;
+pub const SUBMIT_JOB_BG: u32 = 18;
+pub const ERROR: u32 = 19;
+pub const STATUS_RES: u32 = 20;
+pub const SUBMIT_JOB_HIGH: u32 = 21;
+pub const WORK_EXCEPTION: u32 = 25;
+pub const OPTION_REQ: u32 = 26;
+pub const OPTION_RES: u32 = 27;
+pub const WORK_DATA: u32 = 28;
+pub const SUBMIT_JOB_EPOCH: u32 = 36;
--- /dev/null
+++ b/dispatcher/tests/common/http.rs
@@ -0,0 +1,107 @@
+//! Clients and upstream hosts over HTTP/1.1, word by word.
+
+use super::{PATIENCE, bind, patient, target};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc::channel;
+
+/// A message as read: its first line, its headers in lower case, its body.
+#[derive(Debug)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<String>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status")
+    }
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find_map(|h| h.strip_prefix(&format!("{name}: ")))
+    }
+}
+
+/// One end of an HTTP connection.
+pub struct Peer(pub BufReader<TcpStream>);
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Peer {
+        Peer(BufReader::new(patient(stream)))
+    }
+    /// The next connection. A listener has no time-out of its own, so another thread waits for it.
+    pub fn accept(listener: &TcpListener) -> Peer {
+        let (waiting, (done, accepted)) = (listener.try_clone().expect("a clone"), channel());
+        std::thread::spawn(move || {
+            let _ = done.send(waiting.accept());
+        });
+        Peer::new(accepted.recv_timeout(PATIENCE).expect("a connection in time").expect("a connection").0)
+    }
+    pub fn write(&mut self, text: &str) {
+        let _ = self.0.get_mut().write_all(text.as_bytes());
+    }
+    pub fn ask(&mut self, id: &str, class: &str, budget: f64) {
+        let head = format!("X-Call-Id: {id}\r\nX-Call-Class: {class}\r\nX-Budget: {budget}");
+        self.write(&format!("POST /api/u?q=1 HTTP/1.1\r\n{head}\r\nContent-Length: 4\r\n\r\nbody"));
+    }
+    /// The next message; none at the end.
+    pub fn read(&mut self) -> Option<Message> {
+        let mut lines = Vec::new();
+        loop {
+            let mut line = String::new();
+            if self.0.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            match line.trim_end() {
+                "" => break,
+                line => lines.push(line.to_owned()),
+            }
+        }
+        let start = lines.remove(0);
+        let lower = |h: String| h.split_once(':').map(|(n, v)| format!("{}:{v}", n.to_lowercase()));
+        let headers: Vec<String> = lines.into_iter().filter_map(lower).collect();
+        let mut message = Message { start, headers, body: Vec::new() };
+        let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+        message.body.resize(length, 0);
+        self.0.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+    /// Whether the other side has ended the connection without another byte.
+    pub fn ended(&mut self) -> bool {
+        match self.0.read(&mut [0]) {
+            Ok(read) => read == 0,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+}
+
+/// An upstream host that a story plays.
+pub struct Host {
+    pub uid: &'static str,
+    pub listener: TcpListener,
+}
+
+impl Host {
+    pub fn new(uid: &'static str) -> Host {
+        Host { uid, listener: bind() }
+    }
+    pub fn line(&self, state: &str) -> String {
+        target(self.uid, self.listener.local_addr().expect("an address"), state, 0)
+    }
+    /// The next request on a new connection.
+    pub fn request(&self) -> (Peer, Message) {
+        let mut peer = Peer::accept(&self.listener);
+        let request = peer.read().expect("a request");
+        (peer, request)
+    }
+    /// The same, taken on with a 202.
+    pub fn take(&self) -> (Peer, Message) {
+        let (mut peer, request) = self.request();
+        peer.write(TAKEN);
+        (peer, request)
+    }
+}
+
+pub const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+pub const FAILED: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+pub const REJECTED: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nX-Load-Report: TEXT x0=0, queue=1\r\nContent-Length: 0\r\n\r\n";
--- a/dispatcher/tests/gearman.rs
+++ b/dispatcher/tests/gearman.rs
@@ -1,6 +1,7 @@
 //! Stories of the Gearman front against stand-in clients and workers.
 
 mod common;
+use common::gearman::*;
 use common::*;
 use rstest::{fixture, rstest};
 use std::io::Write;
--- a/dispatcher/tests/gearman_queue.rs
+++ b/dispatcher/tests/gearman_queue.rs
@@ -1,6 +1,7 @@
 //! Stories of the Gearman front as a queue: what waits, what comes back, what ends, and what is told of it.
 
 mod common;
+use common::gearman::*;
 use common::*;
 use rstest::rstest;
 use std::collections::BTreeMap;
--- a/dispatcher/tests/scores.rs
+++ b/dispatcher/tests/scores.rs
@@ -1,6 +1,7 @@
 //! One story told twice: the same jobs and the same misfortunes over HTTP/1.1 and over Gearman earn the same.
 
 mod common;
+use common::gearman::*;
 use common::*;
 use rstest::rstest;
 use std::collections::BTreeSet;
