--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -39,6 +39,7 @@
 /// Serves until SIGTERM, and then until nothing is owed.
 pub fn run(config: Config, signals: Signals) -> Result<(), String> {
     let _log = log::start(config.log);
+    config.warnings.iter().for_each(|warning| tracing::warn!("{warning}"));
     // One core, shared with the thread that owns the decisions.
     may::config().set_workers(1).set_stack_size(STACK).set_pool_capacity(COROUTINES);
     let (inbox, outlet) = Inbox::new();
@@ -57,12 +58,12 @@
     let registry = Registry::new(config.discovery, ask);
     let flows = config.ipfix.as_ref().map(|file| ipfix::start(file, &site)).transpose()?;
     let owner = handover::Owner { site: config.listen.to_string(), name: config.name.clone() };
-    let kept = handover::begin(owner, &operation.hand);
+    let kept = handover::begin(owner, &operation.suspensions);
     let mut core = Core::new(inbox.clone(), outlet, flows, operation.clone());
     // Only its list counts as told unheard: what comes to us by itself is told by its connection.
     let settings = Settings { lease_list: true, ..site.settings.clone() };
     let fleet = core.add_fleet(settings, config.seed, Some(Box::new(dialer)))?;
-    config.doors.into_iter().for_each(|terms| core.set_doors(fleet, terms));
+    config.dial_limits.into_iter().for_each(|limits| core.set_dial_limits(fleet, limits));
     let mut watch = Watch {
         registry: registry.clone(),
         rev: Some(config.known.rev),
@@ -131,14 +132,14 @@
         let listen = listener.local_addr().map_err(|e| e.to_string())?;
         let admin = Arc::new(Admin {
             figures: operation.figures.clone(),
-            hand: operation.hand.clone(),
+            suspensions: operation.suspensions.clone(),
             inbox: inbox.clone(),
             table: Table::new(admin::CONNECTIONS),
         });
         may::go!(move || admin::accept(admin, &listener));
         tracing::info!("{}: admin on {listen}", config.name);
     }
-    handover::keep(kept, operation.hand.clone(), inbox.clone());
+    handover::keep(kept, operation.suspensions.clone(), inbox.clone());
     if inherited {
         core.set_relay(relay::start(&config.name, front.site.clone(), inbox.clone()));
     }
--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -2,8 +2,8 @@
 //! posts what it decides. Only here does an upstream request end: with one verdict for each send.
 
 mod attempts;
-mod door;
-mod errands;
+mod control_requests;
+mod dial_queue;
 mod hosts;
 mod operation;
 mod steps;
@@ -14,13 +14,13 @@
 use super::*;
 use roselock::settings::fnv;
 use roselock::{Action, Dispatcher, Effect, Event, JobId, JobIn, Listed, Note, Settings};
-use roselock_startup::door::{Door, Terms};
+use roselock_startup::dial_limiter::{DialLimiter, DialLimits};
 use roselock_startup::stage::Start;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::mpsc::RecvTimeoutError;
 
-use errands::Unsent;
+use control_requests::UnsentWithdrawal;
 pub use operation::Operation;
 
 /// After the deadline, a stream that the decisions have not answered is answered here.
@@ -44,10 +44,10 @@
     pool: Pool,
     link: Option<Arc<dyn Link>>,
     entry: FleetEntry,
-    /// When it may be dialled, attempts that wait for a connection to it, and whether one is made ready for them.
-    door: Door,
-    line: VecDeque<UpstreamRequest>,
-    knocking: bool,
+    /// When it may be dialled, attempts that wait for a connection to it, and whether one is opened ahead for them.
+    dial_limiter: DialLimiter,
+    dial_queue: VecDeque<UpstreamRequest>,
+    preconnecting: bool,
 }
 
 struct Fleet {
@@ -59,9 +59,9 @@
     events: Vec<Event>,
     timers: BinaryHeap<Reverse<(Micros, u64)>>,
     stepped: Micros,
-    /// Its hosts' doors are heeded on these terms; none, and they are dialled at once.
-    doors: Option<Terms>,
-    /// When a new connection was closed at a door last.
+    /// Limits of new connections to its hosts; none: they are dialled at once.
+    dial_limits: Option<DialLimits>,
+    /// When a new connection was last rejected.
     closed: Option<Micros>,
     /// Its list was fit to act on at the latest step.
     list_holds: bool,
@@ -111,7 +111,7 @@
     /// How long its connection had idled, if it is a kept one.
     idle: Option<Micros>,
     /// What it asks for, if it is no attempt.
-    errand: Option<Ask>,
+    control: Option<Ask>,
     /// The host has said that it has it.
     taken: bool,
     /// Its verdict is given, or none is owed.
@@ -120,7 +120,7 @@
     quit: bool,
     /// The attempt that this withdraws.
     withdraws: Option<UpstreamId>,
-    /// It waits in its host's line: nothing of it has left.
+    /// It waits in its host's dial queue: nothing of it has left.
     waits: bool,
 }
 
@@ -134,7 +134,7 @@
             sent: 0,
             link: None,
             idle: None,
-            errand: None,
+            control: None,
             taken: false,
             ended: false,
             quit: false,
@@ -147,8 +147,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Attempt(UpstreamId),
-    /// It has waited in its host's line for long enough.
-    Line(UpstreamId),
+    /// It has waited in its host's dial queue for long enough.
+    DialQueue(UpstreamId),
     Stream(StreamId),
 }
 
@@ -188,9 +188,9 @@
     /// Attempts given up before their host had said that it has them, until their connections say what became of them.
     abandoned: HashMap<UpstreamId, (FleetId, WorkerId, Arc<Payload>)>,
     /// Withdrawals that have not arrived, the next one due first.
-    unsent: VecDeque<Unsent>,
-    /// Hosts with a line.
-    lines: BTreeSet<(FleetId, WorkerId)>,
+    unsent: VecDeque<UnsentWithdrawal>,
+    /// Hosts whose dial queue is not empty.
+    dial_queues: BTreeSet<(FleetId, WorkerId)>,
     /// Where the latest draw came from.
     drawn: u64,
     actions: Vec<Action>,
@@ -205,7 +205,7 @@
     operation: Operation,
     /// Where call-backs of streams that are not here go, where another process may have them.
     relay: Option<Box<dyn Relay>>,
-    hand_seen: u64,
+    suspensions_seen: u64,
     told: BTreeSet<WorkerId>,
     published: Micros,
     /// The lists of all fleets have been fit to act on.
@@ -235,7 +235,7 @@
             next_upstream: 0,
             due: BinaryHeap::new(),
             unsent: VecDeque::new(),
-            lines: BTreeSet::new(),
+            dial_queues: BTreeSet::new(),
             drawn: now as u64,
             actions: Vec::new(),
             swept: now,
@@ -245,7 +245,7 @@
             turn: 0,
             operation,
             relay: None,
-            hand_seen: 0,
+            suspensions_seen: 0,
             told: Default::default(),
             published: 0,
             list_was_usable: false,
@@ -287,7 +287,7 @@
             events: Vec::new(),
             timers: BinaryHeap::new(),
             stepped: 0,
-            doors: None,
+            dial_limits: None,
             closed: None,
             list_holds: false,
         });
@@ -311,22 +311,22 @@
             }
             let now = clock::now();
             self.fire_due(now);
-            self.withdraw_again(now);
-            self.serve_lines(now);
+            self.send_unsent_withdrawals(now);
+            self.serve_dial_queues(now);
             self.draw(now);
             // Fleets may share hosts: none has the first word on those that become free each time.
-            self.by_hand();
+            self.apply_suspensions();
             self.turn = (self.turn + 1) % self.fleets.len();
             (self.turn..self.fleets.len()).chain(0..self.turn).for_each(|f| self.step(f, now));
             self.sweep(now);
             self.publish(now);
-            let parting = self.inbox.parting();
-            if parting {
+            let closing = self.inbox.closes_connections();
+            if closing {
                 self.feeds.iter().for_each(|f| f.part());
             }
             // From the last moment on those who still come are refused at once.
             let late = self.inbox.stopping().is_some_and(|at| now - at >= self.inbox.out_by());
-            if parting
+            if closing
                 && self.streams.values().all(|s| s.answered)
                 && self.inbox.unwritten() == 0
                 && (late || now - self.arrived >= QUIET)
@@ -347,8 +347,8 @@
         });
         let unsent = self.unsent.front().map(|u| u.due);
         let feeds = self.feeds.iter().filter_map(|f| f.due());
-        let doors = self.lines.iter().filter_map(|line| self.door_opens(*line));
-        steps.chain(feeds).chain(due).chain(unsent).chain(doors).fold(idle, Micros::min)
+        let dials = self.dial_queues.iter().filter_map(|queue| self.next_dial_at(*queue));
+        steps.chain(feeds).chain(due).chain(unsent).chain(dials).fold(idle, Micros::min)
     }
 
     /// Takes in what the feeds have.
--- a/dispatcher/src/memory/core/steps.rs
+++ b/dispatcher/src/memory/core/steps.rs
@@ -11,7 +11,7 @@
             self.due.pop();
             match due {
                 Due::Attempt(id) => self.give_up(id, Outcome::Timeout),
-                Due::Line(id) => self.leave_line(id),
+                Due::DialQueue(id) => self.leave_dial_queue(id),
                 Due::Stream(id) => {
                     let Some(stream) = self.streams.get(&id).filter(|s| !s.answered) else { continue };
                     let fleet = stream.fleet;
@@ -53,7 +53,7 @@
                 let out = self.streams.get(&job.0).and_then(|s| s.out);
                 if let Some(id) = out.filter(|id| self.upstreams[id].round == round) {
                     if self.streams.get(&job.0).is_some_and(|s| !s.answered) {
-                        self.call_off(id);
+                        self.cancel_attempt(id);
                     } else {
                         self.give_up(id, Outcome::Cancelled);
                     }
@@ -67,7 +67,7 @@
                 self.operation.figures.start(&self.start, None);
                 self.fleets[f].dialer.iter().for_each(|d| d.watch());
             }
-            Action::Probe(worker) => self.errand(f, worker, Ask::Probe, Some(Need::Errand), None),
+            Action::Probe(worker) => self.send_control(f, worker, Ask::Probe, Some(Need::Control), None),
             Action::Close(worker) => {
                 if let Some(host) = self.fleets[f].hosts.get_mut(&worker) {
                     host.pool.clear();
@@ -100,7 +100,7 @@
         let payload = stream.payload.clone();
         let up = Upstream { stream: job, round, sent: now, ..Upstream::new(f, worker) };
         let id = self.next_upstream;
-        let need = door::need(&self.fleets[f].set, Some(stream.class.0 as usize));
+        let need = dial_queue::need(&self.fleets[f].set, Some(stream.class.0 as usize));
         if barred || !self.launch(up, Ask::Run(payload), deadline, Some(need)) {
             let last = self.streams[&job].answered;
             let (job, outcome, gauge) = (JobId(job), Outcome::Moot, Gauge::default());
--- a/dispatcher/src/memory/mod.rs
+++ b/dispatcher/src/memory/mod.rs
@@ -3,8 +3,8 @@
 
 pub mod clock;
 pub mod core;
-pub mod hand;
 pub mod pool;
+pub mod suspensions;
 
 use roselock::{
     ClassId, FleetEntry, Gauge, KeyId, ListMode, Micros, Outcome, Settings, TenantId, WatchEnd, WorkerId,
@@ -177,8 +177,8 @@
     Withdraw(Arc<Payload>),
     /// How it is.
     Probe,
-    /// Nothing: a new connection that is to be kept, once it was not closed at the door.
-    Knock,
+    /// Nothing: a new connection is opened ahead, and kept if it is accepted.
+    Preconnect,
 }
 
 /// An upstream request on its way to a connection.
@@ -264,8 +264,8 @@
     Withdrawn,
     /// The connection ended under a probe or a withdrawal.
     Broken,
-    /// A new connection was closed before its first byte came, as soon as it was up; whether something was written.
-    TurnedAway(bool),
+    /// The host has rejected a new connection: closed it at once, without a byte; whether something was written.
+    ConnectionRejected(bool),
     /// Nothing of note.
     Nothing,
 }
@@ -406,8 +406,8 @@
     pub fn ends_by(&self) -> Micros {
         self.stopping().map_or(Micros::MAX, |at| at + self.out_by() + MARGIN / 2)
     }
-    /// Whether that word was so long ago that connections are not kept any more.
-    pub fn parting(&self) -> bool {
+    /// Whether the word to stop came so long ago that connections are closed after their next answer.
+    pub fn closes_connections(&self) -> bool {
         self.stopping().is_some_and(|at| clock::now() - at >= self.out_by() * LINGER.0 / LINGER.1)
     }
     /// Posts a stream; false where none is taken any more, and nothing was done.
--- /dev/null
+++ b/dispatcher/tests/common/discovery.rs
@@ -0,0 +1,91 @@
+//! A stand-in for the list service.
+
+use super::{Peer, bind};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+
+/// Discovery: each connection gets the lines that the story sends, and an empty one now and then.
+pub struct Discovery {
+    pub at: SocketAddr,
+    /// The target of each watch, as it comes.
+    pub asked: Receiver<String>,
+    /// To the watch that came last; `None` ends it.
+    pub lines: Sender<Option<String>>,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        Discovery::start_with(None)
+    }
+
+    /// One that also tells the whole list when asked for it without a watch.
+    pub fn start_with(whole: Option<String>) -> Discovery {
+        let (listener, (ask, asked), (lines, said)) = (bind(), channel(), channel::<Option<String>>());
+        let at = listener.local_addr().expect("an address");
+        let (opened, watches) = channel::<Sender<Option<String>>>();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (stream, ask, whole) = (stream.expect("a connection"), ask.clone(), whole.clone());
+                let opened = opened.clone();
+                std::thread::spawn(move || answer_watch(stream, &ask, whole.as_deref(), &opened));
+            }
+        });
+        std::thread::spawn(move || {
+            let Ok(mut latest) = watches.recv() else { return };
+            for line in said {
+                // The one that came last, where another came meanwhile; the next one, where the last was ended.
+                latest = watches.try_iter().last().unwrap_or(latest);
+                let ends = line.is_none();
+                let _ = latest.send(line);
+                if ends && let Ok(next) = watches.recv() {
+                    latest = next;
+                }
+            }
+        });
+        Discovery { at, asked, lines }
+    }
+}
+
+/// Answers the calls on one connection: the whole list, then a watch.
+fn answer_watch(
+    stream: TcpStream,
+    ask: &Sender<String>,
+    whole: Option<&str>,
+    opened: &Sender<Sender<Option<String>>>,
+) {
+    let mut peer = Peer::new(stream);
+    let Some(request) = peer.read() else { return };
+    let mut asked = request.start;
+    let _ = ask.send(asked.clone());
+    if let Some(whole) = whole.filter(|_| !asked.contains("watch")) {
+        peer.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len()));
+        let Some(next) = peer.read() else { return };
+        asked = next.start;
+        let _ = ask.send(asked.clone());
+    }
+    peer.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let (lines, said) = channel();
+    // Kept here, too: it ends with this watch, not with the one that comes after it.
+    let _ = opened.send(lines.clone());
+    let mut line = first_list(&asked, whole) + "\n";
+    loop {
+        if !peer.try_write(&format!("{:x}\r\n{line}\r\n", line.len())) {
+            return;
+        }
+        line = match said.recv_timeout(Duration::from_secs(1)) {
+            Ok(Some(line)) => line + "\n",
+            Ok(None) => return,
+            Err(_) => "\n".into(),
+        };
+    }
+}
+
+/// The first object on a watch: the whole list to who asks from a version that is not its own, else no change.
+fn first_list(asked: &str, whole: Option<&str>) -> String {
+    let after = asked.split("after=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap_or("0");
+    match whole {
+        Some(whole) if !whole.starts_with(&format!(r#"{{"rev":{after},"#)) => whole.to_owned(),
+        _ => format!(r#"{{"rev":{after},"all":false,"targets":[]}}"#),
+    }
+}
