Rig: the modules depend on one another in one direction only

Nine files of the rig imported one another in a circle round `World` in run.rs, so none of them could be read or used apart: a measurement that needs the list or a worker's address had to take the whole run with it.

What is shared lies below now: time, outage, kind, job_id and net import no stand-in; list and worker keep their state only; world puts them together; list_service and worker_service act on it, and run starts it all. `World` has a constructor and a few accessors in place of fields that run.rs wrote to. Behaviour is as before. Ruled out: a trait for what the stand-ins need of the world, which would have had one implementation.

The other tests are unchanged; `run::claim_net` and `roselock_rig::{Clock, Micros, SECOND}` are still to be had where they were.

--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -3,15 +3,14 @@
 
 use crate::http::Connection;
 use crate::ledger::{End, Seen};
-use crate::run::World;
-use crate::{Micros, SECOND};
+use crate::scenario::PATIENCE;
+use crate::time::{Micros, SECOND};
+use crate::world::World;
 use oorandom::Rand64;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// The clients' whole patience: what may run twice, what may not.
-pub const PATIENCE: [Micros; 2] = [5 * SECOND, 10 * SECOND];
 /// Least that must be left for another try.
 const LEAST: Micros = SECOND / 10;
 /// Between tries of who does not heed `Retry-After`, or is not told one.
--- a/crates/rig/src/ideal.rs
+++ b/crates/rig/src/ideal.rs
@@ -1,8 +1,8 @@
 //! What an all-knowing spread of the same capacity would serve: a fluid queue, first come first served, that knows each
 //! worker's warmth and each request's patience, and gives nothing to one that it cannot serve in time.
 
-use crate::worker::Kind;
-use crate::{Micros, SECOND};
+use crate::kind::Kind;
+use crate::time::{Micros, SECOND};
 
 /// Steps of the sum of the capacity.
 const STEP: Micros = SECOND / 100;
--- a/crates/rig/src/ledger.rs
+++ b/crates/rig/src/ledger.rs
@@ -1,7 +1,7 @@
 //! What the stand-ins saw, and what the rules say to it.
 
-use crate::run::World;
-use crate::{Micros, SECOND};
+use crate::job_id::dispatcher_of;
+use crate::time::{Micros, SECOND};
 use serde::Serialize;
 use std::collections::HashMap;
 
@@ -121,7 +121,7 @@
                     if *answers > 1 {
                         say("one answer", *at, format!("{id} was answered {answers} times"));
                     }
-                    let due = resumed.get(&World::dispatcher_of(id).unwrap_or(usize::MAX)).copied();
+                    let due = resumed.get(&dispatcher_of(id).unwrap_or(usize::MAX)).copied();
                     if *end == End::Lost || *at > due.unwrap_or(0).max(*deadline) + slack.answer {
                         say("one answer", *at, format!("{id} had no answer in time"));
                     }
--- a/crates/rig/src/links.rs
+++ b/crates/rig/src/links.rs
@@ -1,6 +1,6 @@
 //! What passes between two parties: faults as data, with a beginning and an end.
 
-use crate::Micros;
+use crate::time::Micros;
 use serde::{Deserialize, Serialize};
 
 /// A party of a run.
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -1,8 +1,8 @@
 //! What came of a run, as figures, and two runs side by side.
 
 use crate::ledger::{Broken, End, Ledger, Seen, Slack};
-use crate::scenario::Scenario;
-use crate::{Micros, SECOND};
+use crate::scenario::{PATIENCE, Scenario};
+use crate::time::{Micros, SECOND};
 use serde::Serialize;
 use std::collections::HashMap;
 use std::fmt::Write;
@@ -114,8 +114,7 @@
         let share = |(all, good): (usize, usize)| good as f64 / all.max(1) as f64;
         let sum = spans.iter().fold((0, 0), |s, x| (s.0 + x.0, s.1 + x.1));
         let fixed = scenario.cuts.is_empty() && scenario.events.iter().all(|e| e.who.of_dispatchers());
-        let patience = crate::clients::PATIENCE[0];
-        let ideal = fixed.then(|| crate::ideal::share(&scenario.workers, &boots, &came, patience));
+        let ideal = fixed.then(|| crate::ideal::share(&scenario.workers, &boots, &came, PATIENCE[0]));
         let mut report = Report {
             ideal,
             by_second,
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -1,148 +1,27 @@
 //! A run: the world of one scenario, its processes, what happens to them, and what came of it.
 
-use crate::http::Connection;
-use crate::ledger::{Ledger, Seen, Slack};
-use crate::links::{Harm, Links, Party};
-use crate::list::{self, Line, List};
+use crate::ledger::{Seen, Slack};
+use crate::list::{self, Line};
+pub use crate::net::claim_net;
+use crate::net::{address, free_port, raise_limits};
 use crate::node::{MEMORY_MB, Node, Place, SOCKETS};
 use crate::process::PATIENCE;
 use crate::report::Report;
 use crate::scenario::{Event, Happens, Scenario};
-use crate::worker::{self, Worker};
-use crate::{Clock, Micros, SECOND, clients};
+use crate::time::{Micros, SECOND};
+use crate::worker::Worker;
+use crate::world::World;
+use crate::{clients, list_service, worker_service};
 use may::net::TcpListener;
 use nix::sys::signal::Signal;
-use oorandom::Rand64;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Words of stack for a coroutine.
 const STACK: usize = 4 * 1024;
-/// How often a worker's call is tried, and how long it waits between.
-const CALLS: usize = 10;
-const CALL_PAUSE: Micros = SECOND / 4;
-
-/// What all stand-ins of a run share.
-pub struct World {
-    /// Its clock.
-    pub clock: Clock,
-    /// What is played.
-    pub scenario: Scenario,
-    /// The list service.
-    pub list: List,
-    /// The workers.
-    pub workers: Vec<Worker>,
-    /// Where the dispatchers are.
-    pub places: Vec<Place>,
-    /// Idle connections of clients, by dispatcher.
-    pub pools: Vec<Mutex<Vec<Connection>>>,
-    calls: Vec<Mutex<Vec<Connection>>>,
-    /// How often each dispatcher was started; who starts again is a new one to the front.
-    pub lives: Vec<AtomicUsize>,
-    admitted: Vec<AtomicBool>,
-    ended_by_rig: Vec<AtomicBool>,
-    links: Links,
-    ledger: Mutex<Ledger>,
-    /// What links draw.
-    random: Mutex<Rand64>,
-    end: AtomicBool,
-    /// What the rig itself could not do: then no figure of the run is worth anything.
-    unable: Mutex<Option<String>>,
-    /// Requests under way.
-    pub asking: AtomicUsize,
-    /// Ids given to requests.
-    pub ids: AtomicUsize,
-}
-
-impl World {
-    /// Writes something down.
-    pub fn note(&self, seen: Seen) {
-        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
-        // Within the lock, so that the ledger is in the order of time.
-        ledger.note(self.clock.now(), seen);
-    }
-    /// What befalls words from one party to another now; late ones are waited for.
-    pub fn harm(&self, from: Party, to: Party) -> Option<Harm> {
-        let now = self.clock.now();
-        let draw = self.random.lock().unwrap_or_else(PoisonError::into_inner).rand_float();
-        let (harm, late) = self.links.harm(from, to, now, draw);
-        if harm.is_none() && late > 0 {
-            self.clock.sleep_until(now + late);
-        }
-        harm
-    }
-    /// What a stand-in gets of its own side of the system: a failure that is the rig's, such as too few descriptors or
-    /// ports, ends the run.
-    pub fn own<T>(&self, got: std::io::Result<T>) -> Option<T> {
-        use nix::errno::Errno::{self, EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS};
-        let ours = |e: &std::io::Error| {
-            let number = Errno::from_raw(e.raw_os_error().unwrap_or(0));
-            matches!(number, EMFILE | ENFILE | ENOBUFS | EADDRINUSE | EADDRNOTAVAIL)
-        };
-        got.inspect_err(|e| {
-            if ours(e) {
-                *self.unable.lock().unwrap_or_else(PoisonError::into_inner) = Some(e.to_string());
-                self.clock.sleep_until(self.clock.now() + SECOND / 100);
-            }
-        })
-        .ok()
-    }
-    /// Whether the run is over.
-    pub fn ended(&self) -> bool {
-        self.end.load(Ordering::SeqCst)
-    }
-    /// The dispatcher to which a client gave a request, by its id.
-    pub fn dispatcher_of(id: &str) -> Option<usize> {
-        id.strip_prefix('d')?.split_once('-')?.0.parse().ok()
-    }
-    /// One of those admitted.
-    pub fn admitted(&self, draw: f64) -> Option<usize> {
-        let of: Vec<usize> =
-            (0..self.admitted.len()).filter(|d| self.admitted[*d].load(Ordering::SeqCst)).collect();
-        of.get((draw * of.len() as f64) as usize).copied()
-    }
-    /// Admits a dispatcher.
-    pub fn admit(&self, dispatcher: usize) {
-        self.admitted[dispatcher].store(true, Ordering::SeqCst);
-    }
-    /// Whether the rig has ended it.
-    pub fn killed(&self, dispatcher: usize) -> bool {
-        self.ended_by_rig[dispatcher].load(Ordering::SeqCst)
-    }
-    /// A worker tells a job's dispatcher of it, again until it is heard.
-    pub fn call_back(&self, number: usize, id: &str, body: &str) {
-        let Some(dispatcher) = World::dispatcher_of(id).filter(|d| *d < self.places.len()) else { return };
-        for _ in 0..CALLS {
-            let heard = match self.harm(Party::Worker(number), Party::Dispatcher(dispatcher)) {
-                Some(_) => false,
-                None => self.tell(dispatcher, body).unwrap_or(false),
-            };
-            if heard || self.ended() {
-                return;
-            }
-            self.clock.sleep_until(self.clock.now() + CALL_PAUSE);
-        }
-    }
-    fn tell(&self, dispatcher: usize, body: &str) -> std::io::Result<bool> {
-        let pool = &self.calls[dispatcher];
-        let kept = pool.lock().ok().and_then(|mut p| p.pop());
-        let opened = || Connection::open(self.places[dispatcher].listen, Duration::from_secs(1));
-        let Some(mut connection) = self.own(kept.map_or_else(opened, Ok)) else { return Ok(false) };
-        connection.patience(Duration::from_secs(1))?;
-        let length = body.len();
-        connection.write(&format!(
-            "POST /v1/job-events HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}"
-        ))?;
-        let heard = connection.read()?.is_some_and(|a| matches!(a.status(), 200 | 204));
-        if let Some(mut pool) = pool.lock().ok().filter(|p| heard && p.len() < 8) {
-            pool.push(connection);
-        }
-        Ok(heard)
-    }
-}
 
 /// How a scenario is to be played.
 pub struct Options {
@@ -166,32 +45,6 @@
     _claim: std::net::TcpListener,
 }
 
-/// Nets of 127/8 for runs, and where each is claimed: at an address of it that no dispatcher has.
-const NETS: std::ops::Range<u8> = 20..220;
-const CLAIM: ([u8; 2], u16) = ([255, 254], 20_999);
-
-/// A net that no other run on this machine has, in this process or another, for as long as the claim is held.
-pub fn claim_net() -> std::io::Result<(u8, std::net::TcpListener)> {
-    let claim = |net: u8| {
-        let ([c, d], port) = CLAIM;
-        std::net::TcpListener::bind((Ipv4Addr::new(127, net, c, d), port)).map(|claim| (net, claim))
-    };
-    let none = || std::io::Error::other("all nets of 127/8 for runs are taken");
-    NETS.into_iter().find_map(|net| claim(net).ok()).ok_or_else(none)
-}
-
-fn free_port() -> std::io::Result<u16> {
-    Ok(std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
-}
-
-/// Raises the bound of descriptors as far as it goes.
-fn raise_limits() {
-    use nix::sys::resource::{Resource, getrlimit, setrlimit};
-    if let Ok((_, hard)) = getrlimit(Resource::RLIMIT_NOFILE) {
-        let _ = setrlimit(Resource::RLIMIT_NOFILE, hard, hard);
-    }
-}
-
 /// Plays a scenario to its end.
 pub fn play(scenario: Scenario, options: Options) -> Result<Report, String> {
     let mut run = Run::new(scenario, options).map_err(|e| e.to_string())?;
@@ -214,7 +67,7 @@
             let listener = TcpListener::bind("127.0.0.1:0")?;
             let other = TcpListener::bind("127.0.0.1:0")?;
             let moved = other.local_addr()?;
-            let ip = Ipv4Addr::new(127, net, (number / 250) as u8, (number % 250) as u8 + 1);
+            let ip = address(net, number);
             let folder = folder.path().join(format!("n{number}"));
             let (listen, admin) = (SocketAddr::from((ip, port)), SocketAddr::from((ip, admin)));
             places.push(Place { number, listen, admin, list: listener.local_addr()?, moved, folder });
@@ -232,33 +85,15 @@
         } else {
             r#"{"rev":0,"all":true,"targets":[]}"#.into()
         };
-        let world = Arc::new(World {
-            clock: Clock::start(),
-            list: List::new(lines, n),
-            workers: (0..workers).map(Worker::new).collect(),
-            pools: places.iter().map(|_| Mutex::default()).collect(),
-            calls: places.iter().map(|_| Mutex::default()).collect(),
-            lives: places.iter().map(|_| AtomicUsize::new(0)).collect(),
-            admitted: places.iter().map(|_| AtomicBool::new(false)).collect(),
-            ended_by_rig: places.iter().map(|_| AtomicBool::new(false)).collect(),
-            links: Links(scenario.cuts.clone()),
-            ledger: Mutex::default(),
-            random: Mutex::new(Rand64::new(u128::from(options.seed))),
-            end: AtomicBool::new(false),
-            unable: Mutex::default(),
-            asking: AtomicUsize::new(0),
-            ids: AtomicUsize::new(0),
-            places,
-            scenario,
-        });
+        let world = Arc::new(World::new(scenario, options.seed, lines, places));
         for (number, (listener, other)) in lists.into_iter().enumerate() {
             let (world, again) = (world.clone(), world.clone());
-            may::go!(move || list::serve(&world, number, &listener));
-            may::go!(move || list::serve(&again, number, &other));
+            may::go!(move || list_service::serve(&world, number, &listener));
+            may::go!(move || list_service::serve(&again, number, &other));
         }
         for (number, listener) in hosts.into_iter().enumerate() {
             let world = world.clone();
-            may::go!(move || worker::serve(&world, number, &listener, 0));
+            may::go!(move || worker_service::serve(&world, number, &listener, 0));
         }
         let processes = (0..n).map(|_| None).collect();
         Ok(Run {
@@ -284,7 +119,7 @@
         world.note(Seen::Started(number));
         let process = Node::start(&self.options.program, place, &world.scenario, seed, &self.known);
         self.processes[number] = Some(process.map_err(|e| format!("n{number}: {e}"))?);
-        world.ended_by_rig[number].store(false, Ordering::SeqCst);
+        world.starts(number);
         let life = world.lives[number].fetch_add(1, Ordering::SeqCst) + 1;
         let world = world.clone();
         may::go!(move || clients::front(&world, number, life));
@@ -330,7 +165,7 @@
             let left = at - self.world.clock.now();
             if self.options.progress {
                 let world = &self.world;
-                let up = world.admitted.iter().filter(|a| a.load(Ordering::SeqCst)).count();
+                let up = world.admitted_count();
                 let (now, all) = (world.clock.now() / SECOND, world.scenario.seconds);
                 let name = &world.scenario.name;
                 eprint!("\r{name}: {now} of {all:.0} s, {up} of {} admitted \r", self.processes.len());
@@ -344,7 +179,7 @@
 
     /// Looks after the processes: one that ended unasked fails the run.
     fn check(&mut self) -> Result<(), String> {
-        if let Some(why) = self.world.unable.lock().unwrap_or_else(PoisonError::into_inner).take() {
+        if let Some(why) = self.world.take_unable() {
             return Err(format!("the rig itself was not able to go on: {why}"));
         }
         for number in 0..self.processes.len() {
@@ -369,7 +204,7 @@
 
     fn reboot(&self, workers: std::ops::Range<usize>) {
         let ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        workers.clone().for_each(|w| self.world.workers[w].boot(&self.world));
+        workers.clone().for_each(|w| worker_service::boot(&self.world, w));
         self.world.list.change(|_, line| (line.state, line.boot_ms) = ("ready", ms), workers);
     }
 
@@ -383,7 +218,7 @@
             ends.iter().map(|e| Ok(e.0.local_addr()?.to_string())).collect::<std::io::Result<_>>()?;
         for (w, (listener, address)) in workers.clone().zip(ends) {
             let world = self.world.clone();
-            may::go!(move || worker::serve(&world, w, &listener, address));
+            may::go!(move || worker_service::serve(&world, w, &listener, address));
         }
         self.world
             .list
@@ -425,8 +260,7 @@
         let Some(node) = &mut self.processes[number] else { return Ok(()) };
         match what {
             Happens::Kill | Happens::Term => {
-                world.ended_by_rig[number].store(true, Ordering::SeqCst);
-                world.admitted[number].store(false, Ordering::SeqCst);
+                world.ends(number);
                 if what == Happens::Term {
                     return node.process.signal(Signal::SIGTERM);
                 }
@@ -445,8 +279,8 @@
 
     /// What came of it, by the ledger.
     pub fn report(self) -> Report {
-        self.world.end.store(true, Ordering::SeqCst);
-        let ledger = std::mem::take(&mut *self.world.ledger.lock().unwrap_or_else(PoisonError::into_inner));
+        self.world.finish();
+        let ledger = self.world.take_ledger();
         Report::of(
             &self.world.scenario,
             self.options.seed,
@@ -460,7 +294,7 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
-        self.world.end.store(true, Ordering::SeqCst);
+        self.world.finish();
         // All at once, then each is waited for.
         for node in self.processes.iter_mut().flatten() {
             let _ = node.process.signal(Signal::SIGKILL);
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -1,10 +1,14 @@
 //! A scenario as data: one TOML each.
 
+use crate::kind::Kind;
 use crate::links::{Cut, Group, Harm};
-use crate::list::{Failure, Outage};
-use crate::worker::Kind;
+use crate::outage::{Failure, Outage};
+use crate::time::{Micros, SECOND};
 use serde::{Deserialize, Serialize};
 
+/// The clients' whole patience: what may run twice, what may not.
+pub const PATIENCE: [Micros; 2] = [5 * SECOND, 10 * SECOND];
+
 /// Who, what, from when, until when.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -86,7 +90,7 @@
 
 impl Service {
     /// The outage at a time, if it is out.
-    pub fn out(&self, now: crate::Micros) -> Option<&Outage> {
+    pub fn out(&self, now: Micros) -> Option<&Outage> {
         self.outages.iter().find(|o| (o.from_s..o.until_s).contains(&(now as f64 / 1e6)))
     }
 }
--- /dev/null
+++ b/crates/rig/src/time.rs
@@ -0,0 +1,31 @@
+//! Times of a run, and its clock.
+
+use std::time::Instant;
+
+/// A point in time since the rig started, or a span, in microseconds.
+pub type Micros = i64;
+
+/// One second.
+pub const SECOND: Micros = 1_000_000;
+
+/// The clock of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Clock {
+    /// Starts at 0.
+    pub fn start() -> Clock {
+        Clock(Instant::now())
+    }
+    /// Now.
+    pub fn now(&self) -> Micros {
+        self.0.elapsed().as_micros() as Micros
+    }
+    /// Waits until then, in a coroutine.
+    pub fn sleep_until(&self, at: Micros) {
+        let left = at - self.now();
+        if left > 0 {
+            may::coroutine::sleep(std::time::Duration::from_micros(left as u64));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/world.rs
@@ -0,0 +1,181 @@
+//! What the stand-ins of a run share: its clock, its scenario, the parties, the links between them, and the ledger.
+
+use crate::http::Connection;
+use crate::job_id::dispatcher_of;
+use crate::ledger::{Ledger, Seen};
+use crate::links::{Harm, Links, Party};
+use crate::list::{Line, List};
+use crate::node::Place;
+use crate::scenario::Scenario;
+use crate::time::{Clock, Micros, SECOND};
+use crate::worker::Worker;
+use oorandom::Rand64;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+/// How often a worker's call is tried, and how long it waits between.
+const CALLS: usize = 10;
+const CALL_PAUSE: Micros = SECOND / 4;
+
+/// What all stand-ins of a run share.
+pub struct World {
+    /// Its clock.
+    pub clock: Clock,
+    /// What is played.
+    pub scenario: Scenario,
+    /// The list service.
+    pub list: List,
+    /// The workers.
+    pub workers: Vec<Worker>,
+    /// Where the dispatchers are.
+    pub places: Vec<Place>,
+    /// Idle connections of clients, by dispatcher.
+    pub pools: Vec<Mutex<Vec<Connection>>>,
+    calls: Vec<Mutex<Vec<Connection>>>,
+    /// How often each dispatcher was started; who starts again is a new one to the front.
+    pub lives: Vec<AtomicUsize>,
+    admitted: Vec<AtomicBool>,
+    ended_by_rig: Vec<AtomicBool>,
+    links: Links,
+    ledger: Mutex<Ledger>,
+    /// What links draw.
+    random: Mutex<Rand64>,
+    end: AtomicBool,
+    /// What the rig itself could not do: then no figure of the run is worth anything.
+    unable: Mutex<Option<String>>,
+    /// Requests under way.
+    pub asking: AtomicUsize,
+    /// Ids given to requests.
+    pub ids: AtomicUsize,
+}
+
+impl World {
+    /// One in which nothing has happened yet; its clock starts.
+    pub fn new(scenario: Scenario, seed: u64, lines: Vec<Line>, places: Vec<Place>) -> World {
+        World {
+            clock: Clock::start(),
+            list: List::new(lines, places.len()),
+            workers: (0..scenario.workers_n).map(|_| Worker::default()).collect(),
+            pools: places.iter().map(|_| Mutex::default()).collect(),
+            calls: places.iter().map(|_| Mutex::default()).collect(),
+            lives: places.iter().map(|_| AtomicUsize::new(0)).collect(),
+            admitted: places.iter().map(|_| AtomicBool::new(false)).collect(),
+            ended_by_rig: places.iter().map(|_| AtomicBool::new(false)).collect(),
+            links: Links(scenario.cuts.clone()),
+            ledger: Mutex::default(),
+            random: Mutex::new(Rand64::new(u128::from(seed))),
+            end: AtomicBool::new(false),
+            unable: Mutex::default(),
+            asking: AtomicUsize::new(0),
+            ids: AtomicUsize::new(0),
+            places,
+            scenario,
+        }
+    }
+    /// Writes something down.
+    pub fn note(&self, seen: Seen) {
+        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        // Within the lock, so that the ledger is in the order of time.
+        ledger.note(self.clock.now(), seen);
+    }
+    /// What befalls words from one party to another now; late ones are waited for.
+    pub fn harm(&self, from: Party, to: Party) -> Option<Harm> {
+        let now = self.clock.now();
+        let draw = self.random.lock().unwrap_or_else(PoisonError::into_inner).rand_float();
+        let (harm, late) = self.links.harm(from, to, now, draw);
+        if harm.is_none() && late > 0 {
+            self.clock.sleep_until(now + late);
+        }
+        harm
+    }
+    /// What a stand-in gets of its own side of the system: a failure that is the rig's, such as too few descriptors or
+    /// ports, ends the run.
+    pub fn own<T>(&self, got: std::io::Result<T>) -> Option<T> {
+        use nix::errno::Errno::{self, EADDRINUSE, EADDRNOTAVAIL, EMFILE, ENFILE, ENOBUFS};
+        let ours = |e: &std::io::Error| {
+            let number = Errno::from_raw(e.raw_os_error().unwrap_or(0));
+            matches!(number, EMFILE | ENFILE | ENOBUFS | EADDRINUSE | EADDRNOTAVAIL)
+        };
+        got.inspect_err(|e| {
+            if ours(e) {
+                *self.unable.lock().unwrap_or_else(PoisonError::into_inner) = Some(e.to_string());
+                self.clock.sleep_until(self.clock.now() + SECOND / 100);
+            }
+        })
+        .ok()
+    }
+    /// Whether the run is over.
+    pub fn ended(&self) -> bool {
+        self.end.load(Ordering::SeqCst)
+    }
+    /// Ends the run: the stand-ins stop.
+    pub fn finish(&self) {
+        self.end.store(true, Ordering::SeqCst);
+    }
+    /// What the rig itself could not do since it was last asked.
+    pub fn take_unable(&self) -> Option<String> {
+        self.unable.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
+    /// What was written down so far; the ledger is empty from then on.
+    pub fn take_ledger(&self) -> Ledger {
+        std::mem::take(&mut *self.ledger.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+    /// How many are admitted.
+    pub fn admitted_count(&self) -> usize {
+        self.admitted.iter().filter(|a| a.load(Ordering::SeqCst)).count()
+    }
+    /// One of those admitted.
+    pub fn admitted(&self, draw: f64) -> Option<usize> {
+        let of: Vec<usize> =
+            (0..self.admitted.len()).filter(|d| self.admitted[*d].load(Ordering::SeqCst)).collect();
+        of.get((draw * of.len() as f64) as usize).copied()
+    }
+    /// Admits a dispatcher.
+    pub fn admit(&self, dispatcher: usize) {
+        self.admitted[dispatcher].store(true, Ordering::SeqCst);
+    }
+    /// Notes that the rig ends it: it is not admitted any more.
+    pub fn ends(&self, dispatcher: usize) {
+        self.ended_by_rig[dispatcher].store(true, Ordering::SeqCst);
+        self.admitted[dispatcher].store(false, Ordering::SeqCst);
+    }
+    /// Notes that it has been started again.
+    pub fn starts(&self, dispatcher: usize) {
+        self.ended_by_rig[dispatcher].store(false, Ordering::SeqCst);
+    }
+    /// Whether the rig has ended it.
+    pub fn killed(&self, dispatcher: usize) -> bool {
+        self.ended_by_rig[dispatcher].load(Ordering::SeqCst)
+    }
+    /// A worker tells a job's dispatcher of it, again until it is heard.
+    pub fn call_back(&self, number: usize, id: &str, body: &str) {
+        let Some(dispatcher) = dispatcher_of(id).filter(|d| *d < self.places.len()) else { return };
+        for _ in 0..CALLS {
+            let heard = match self.harm(Party::Worker(number), Party::Dispatcher(dispatcher)) {
+                Some(_) => false,
+                None => self.tell(dispatcher, body).unwrap_or(false),
+            };
+            if heard || self.ended() {
+                return;
+            }
+            self.clock.sleep_until(self.clock.now() + CALL_PAUSE);
+        }
+    }
+    fn tell(&self, dispatcher: usize, body: &str) -> std::io::Result<bool> {
+        let pool = &self.calls[dispatcher];
+        let kept = pool.lock().ok().and_then(|mut p| p.pop());
+        let opened = || Connection::open(self.places[dispatcher].listen, Duration::from_secs(1));
+        let Some(mut connection) = self.own(kept.map_or_else(opened, Ok)) else { return Ok(false) };
+        connection.patience(Duration::from_secs(1))?;
+        let length = body.len();
+        connection.write(&format!(
+            "POST /v1/job-events HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}"
+        ))?;
+        let heard = connection.read()?.is_some_and(|a| matches!(a.status(), 200 | 204));
+        if let Some(mut pool) = pool.lock().ok().filter(|p| heard && p.len() < 8) {
+            pool.push(connection);
+        }
+        Ok(heard)
+    }
+}
