--- a/crates/rig/src/http.rs
+++ b/crates/rig/src/http.rs
@@ -1,8 +1,10 @@
 //! As much of HTTP/1.1 as the stand-ins need, on `may` sockets.
 
+use crate::traffic::Traffic;
 use may::net::TcpStream;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest message.
@@ -33,13 +35,20 @@
 pub struct Connection {
     stream: TcpStream,
     read: Vec<u8>,
+    traffic: Option<Arc<Traffic>>,
 }
 
 impl Connection {
     /// Over a stream that was accepted.
     pub fn new(stream: TcpStream) -> Connection {
         let _ = stream.set_nodelay(true);
-        Connection { stream, read: Vec::new() }
+        Connection { stream, read: Vec::new(), traffic: None }
+    }
+    /// The same, with what passes over it counted from now on.
+    pub fn counted(mut self, traffic: &Arc<Traffic>) -> Connection {
+        traffic.connected();
+        self.traffic = Some(traffic.clone());
+        self
     }
     /// A new one; gives up after `within`.
     pub fn open(to: SocketAddr, within: Duration) -> io::Result<Connection> {
@@ -47,7 +56,9 @@
     }
     /// Writes all of it.
     pub fn write(&mut self, text: &str) -> io::Result<()> {
-        self.stream.write_all(text.as_bytes())
+        self.stream.write_all(text.as_bytes())?;
+        self.traffic.iter().for_each(|t| t.has_written(text.len()));
+        Ok(())
     }
     /// How long a read waits.
     pub fn patience(&self, within: Duration) -> io::Result<()> {
@@ -61,13 +72,17 @@
     pub fn read(&mut self) -> io::Result<Option<Message>> {
         loop {
             if let Some(message) = self.parsed()? {
+                self.traffic.iter().for_each(|t| t.received());
                 return Ok(Some(message));
             }
             let mut buffer = [0; 2048];
             match self.stream.read(&mut buffer)? {
                 0 if self.read.is_empty() => return Ok(None),
                 0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-                n => self.read.extend_from_slice(&buffer[..n]),
+                n => {
+                    self.traffic.iter().for_each(|t| t.has_read(n));
+                    self.read.extend_from_slice(&buffer[..n]);
+                }
             }
             if self.read.len() > MOST {
                 return Err(io::ErrorKind::InvalidData.into());
@@ -112,3 +127,11 @@
 pub fn answer(status: u16, headers: &str, body: &str) -> String {
     format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
+
+/// The head of an answer that comes in chunks.
+pub const CHUNKED_HEAD: &str = "HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A line as a chunk of such an answer.
+pub fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+}
--- a/crates/rig/src/list.rs
+++ b/crates/rig/src/list.rs
@@ -1,7 +1,7 @@
 //! The list of workers as the list service has it: its lines, their revisions, and who watches for changes.
 
 use crate::time::Micros;
-use may::sync::mpsc::Sender;
+use may::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// One worker as the list has it.
@@ -54,6 +54,16 @@
     End,
 }
 
+/// A watch that was opened.
+pub(crate) struct Opened {
+    /// What changes from then on.
+    pub(crate) changes: Receiver<Change>,
+    /// What is new since the revision that was asked for, as on the wire.
+    pub(crate) first: String,
+    /// All lines as of then.
+    pub(crate) all: Vec<Line>,
+}
+
 /// The service.
 pub struct List {
     state: Mutex<State>,
@@ -96,6 +106,21 @@
         state.watches.retain(|(_, watch)| watch.send(text.clone()).is_ok());
     }
 
+    /// Opens a watch for a dispatcher that knows the list as of a revision.
+    pub(crate) fn watch(&self, dispatcher: usize, after: u64) -> Opened {
+        let (tell, changes) = channel();
+        let mut state = self.state();
+        state.watches.push((dispatcher, tell));
+        let news = |w: &usize| state.changed[*w] > after;
+        let lines: Vec<Line> = (0..state.lines.len()).filter(news).map(|w| state.lines[w].clone()).collect();
+        let all = state.lines.clone();
+        let rev = state.rev;
+        drop(state);
+        // A rev of another life of the service says nothing here: the whole list.
+        let first = if after > rev { object(rev, true, &all) } else { object(rev, false, &lines) };
+        Opened { changes, first, all }
+    }
+
     /// Ends all watches at once, as a restart of the service does.
     pub fn end_watches(&self) {
         self.state().watches.drain(..).for_each(|(_, watch)| _ = watch.send(Change::End));
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 use argh::FromArgs;
 use roselock_rig::report::Report;
 use roselock_rig::run::{Options, play, program_beside};
+use roselock_rig::scale::{self, plan, table};
 use roselock_rig::scenario::Scenario;
 use std::io::IsTerminal;
 use std::path::PathBuf;
@@ -21,6 +22,7 @@
     List(ListAll),
     Run(RunOne),
     Compare(Compare),
+    Scale(plan::Arguments),
 }
 
 /// List the scenarios that come with the rig.
@@ -77,10 +79,15 @@
 }
 
 fn main() -> ExitCode {
-    let done = match argh::from_env::<Args>().command {
+    let args = match arguments() {
+        Ok(args) => args,
+        Err(status) => return status,
+    };
+    let done = match args.command {
         Command::List(_) => list(),
         Command::Run(run) => run_all(run),
         Command::Compare(files) => compare(&files),
+        Command::Scale(arguments) => measure(arguments),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
@@ -92,6 +99,23 @@
     }
 }
 
+/// The command line; 1 is the status of a broken rule, so arguments that make no sense have 2.
+fn arguments() -> Result<Args, ExitCode> {
+    let words: Vec<String> = std::env::args().collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let (command, rest) = words.split_first().unwrap_or((&"roselock-rig", &[]));
+    Args::from_args(&[command], rest).map_err(|early| match early.status {
+        Ok(()) => {
+            println!("{}", early.output);
+            ExitCode::SUCCESS
+        }
+        Err(()) => {
+            eprintln!("{}", early.output);
+            ExitCode::from(2)
+        }
+    })
+}
+
 fn list() -> Result<bool, String> {
     for scenario in roselock_rig::scenario::all() {
         println!("{:<24} {}", scenario.name, scenario.about);
@@ -192,3 +216,12 @@
     }
     Ok(true)
 }
+
+fn measure(arguments: plan::Arguments) -> Result<bool, String> {
+    roselock_rig::run::end_with_signals().map_err(|e| e.to_string())?;
+    let me = std::env::current_exe().map_err(|e| e.to_string())?;
+    let plan = plan::Plan::new(arguments, program_beside(&me))?;
+    let report = scale::measure(&plan, |row| eprintln!("{}", table::line(row)))?;
+    print!("{}", table::text(&report));
+    Ok(true)
+}
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -35,3 +35,11 @@
         let _ = setrlimit(Resource::RLIMIT_NOFILE, hard, hard);
     }
 }
+
+/// The number of the party at an address of a net.
+pub fn number_at(net: u8, address: Ipv4Addr) -> Option<usize> {
+    let [first, second, third, fourth] = address.octets();
+    let within = (1..=ADDRESSES).contains(&usize::from(fourth));
+    (first == 127 && second == net && within)
+        .then(|| usize::from(third) * ADDRESSES + usize::from(fourth) - 1)
+}
--- /dev/null
+++ b/crates/rig/src/scale.rs
@@ -0,0 +1,46 @@
+//! How the cost of a dispatcher grows with the number of workers: real dispatchers beside a list of thousands of
+//! workers, of which each has a line in the list and an address that answers, and no more.
+//!
+//! [`plan`] checks what is asked for, [`trial`] measures one size, [`report`] puts the sizes together and fits a line
+//! to each figure, [`table`] and [`chart`] show it.
+
+pub mod admin;
+pub mod chart;
+pub mod figure;
+pub mod fit;
+pub mod hollow;
+pub mod load;
+pub mod party;
+pub mod plan;
+pub mod registry;
+pub mod report;
+pub mod table;
+pub mod trial;
+pub mod usage;
+
+use plan::Plan;
+use report::Report;
+
+/// Measures every size of a plan, one after another, and writes the files that it names; each row is told as it comes.
+pub fn measure(plan: &Plan, told: impl Fn(&report::Row)) -> Result<Report, String> {
+    crate::net::raise_limits();
+    may::config().set_stack_size(STACK);
+    let mut rows = Vec::new();
+    for workers in &plan.sizes {
+        let row = trial::measure(plan, *workers).map_err(|e| format!("{workers} workers: {e}"))?;
+        told(&row);
+        rows.push(row);
+    }
+    let report = Report::new(plan, rows);
+    if let Some(path) = &plan.json {
+        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
+        std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    if let Some(path) = &plan.svg {
+        std::fs::write(path, chart::svg(&report)?).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    Ok(report)
+}
+
+/// Words of stack for a coroutine.
+const STACK: usize = 4 * 1024;
--- /dev/null
+++ b/crates/rig/src/scale/chart.rs
@@ -0,0 +1,75 @@
+//! A measurement as a chart: the values of each figure, and the line through them.
+
+use crate::scale::figure::Figure;
+use crate::scale::report::{Law, Report};
+use plotters::coord::Shift;
+use plotters::prelude::*;
+
+/// Size of the part of a figure in pixels, and parts beside one another.
+const PART: (u32, u32) = (380, 260);
+/// See [`PART`].
+const COLUMNS: usize = 3;
+/// Room above the highest value and right of the largest size.
+const ROOM: f64 = 1.15;
+/// Radius of the dot of a value in pixels.
+const DOT: i32 = 4;
+
+type Failure = Box<dyn std::error::Error>;
+
+/// The chart as SVG.
+pub fn svg(report: &Report) -> Result<String, String> {
+    let mut text = String::new();
+    draw(report, &mut text).map_err(|e| e.to_string())?;
+    Ok(text)
+}
+
+fn draw(report: &Report, text: &mut String) -> Result<(), Failure> {
+    let shown: Vec<Figure> =
+        Figure::ALL.into_iter().filter(|figure| !report.points(*figure).is_empty()).collect();
+    let rows = shown.len().div_ceil(COLUMNS).max(1);
+    let size = (PART.0 * COLUMNS as u32, PART.1 * rows as u32);
+    let area = SVGBackend::with_string(text, size).into_drawing_area();
+    area.fill(&WHITE)?;
+    if shown.is_empty() {
+        area.titled("no size was measured", ("sans-serif", 14))?;
+    }
+    for (part, figure) in area.split_evenly((rows, COLUMNS)).iter().zip(shown) {
+        draw_figure(report, figure, part)?;
+    }
+    area.present()?;
+    Ok(())
+}
+
+fn draw_figure(
+    report: &Report,
+    figure: Figure,
+    area: &DrawingArea<SVGBackend<'_>, Shift>,
+) -> Result<(), Failure> {
+    let points: Vec<(f64, f64)> = report.points(figure).iter().map(|p| (p.workers, p.value)).collect();
+    let law = report.laws.iter().find(|law| law.figure == figure);
+    let right = points.iter().map(|p| p.0).fold(1.0, f64::max) * ROOM;
+    let line: Vec<(f64, f64)> =
+        law.iter().flat_map(|law| [0.0, right].map(|workers| (workers, law.line.at(workers)))).collect();
+    let values = || points.iter().chain(&line).map(|p| p.1);
+    let top = values().fold(0.0, f64::max) * ROOM;
+    let bottom = values().fold(0.0, f64::min) * ROOM;
+    let top = if top > bottom { top } else { bottom + 1.0 };
+    let mut chart = ChartBuilder::on(area)
+        .caption(title(figure, law), ("sans-serif", 14))
+        .margin(8)
+        .x_label_area_size(28)
+        .y_label_area_size(52)
+        .build_cartesian_2d(0.0..right, bottom..top)?;
+    chart.configure_mesh().x_desc("workers").x_labels(6).y_labels(6).max_light_lines(0).draw()?;
+    let colour = if law.is_none_or(|law| law.linear) { RGBColor(20, 120, 60) } else { RGBColor(190, 20, 20) };
+    chart.draw_series(LineSeries::new(line, colour.stroke_width(2)))?;
+    chart.draw_series(points.into_iter().map(|point| Circle::new(point, DOT, colour.filled())))?;
+    Ok(())
+}
+
+fn title(figure: Figure, law: Option<&Law>) -> String {
+    match law {
+        Some(law) if !law.linear => format!("{} (not linear)", figure.label()),
+        _ => figure.label().to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/rig/src/scale/figure.rs
@@ -0,0 +1,99 @@
+//! The figures that are measured at each size.
+
+use serde::{Deserialize, Serialize};
+
+/// What is measured. Processor time, memory and descriptors are those of a dispatcher as the system counts them; bytes
+/// and connections are counted by the stand-ins at the other end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Figure {
+    /// Processor time with the list watched and no requests, as a share of a core in percent; the mean.
+    IdleProcessor,
+    /// Processor time of a request in microseconds, beyond what is used at rest; the mean.
+    RequestProcessor,
+    /// Processor time of a change of the list in microseconds, beyond what is used at rest; the mean.
+    ChangeProcessor,
+    /// Resident memory at rest in KiB; the largest dispatcher.
+    ResidentAtRest,
+    /// Its peak over the whole life of the process in KiB; the largest dispatcher.
+    ResidentPeak,
+    /// Open descriptors at rest; the most.
+    DescriptorsAtRest,
+    /// Open descriptors under requests; the most.
+    DescriptorsPeak,
+    /// Bytes that the list service wrote up to the end of the first list, for a dispatcher; the mean.
+    FirstListBytes,
+    /// Bytes that it wrote for a change, for a dispatcher.
+    ChangeBytes,
+    /// Bytes that it wrote in a second at rest, for a dispatcher.
+    RestBytesPerSecond,
+    /// Bytes that it read up to the end of the first list, from a dispatcher.
+    CallBytes,
+    /// Bytes that workers read for a request.
+    WorkerReadBytes,
+    /// Bytes that workers wrote for a request, call-backs included.
+    WorkerWrittenBytes,
+    /// Connections that came up at workers, over the requests.
+    WorkerConnections,
+    /// From the start of a dispatcher to its confirmed list in seconds, by its own figures; the last one.
+    ConfirmedAfter,
+    /// Bytes that the list service wrote when all dispatchers were killed and started together, for a dispatcher.
+    RestartBytes,
+    /// From then until all had the list confirmed, in seconds.
+    RestartAfter,
+}
+
+impl Figure {
+    /// All of them, in the order in which they are shown.
+    pub const ALL: [Figure; 17] = [
+        Figure::IdleProcessor,
+        Figure::RequestProcessor,
+        Figure::ChangeProcessor,
+        Figure::ResidentAtRest,
+        Figure::ResidentPeak,
+        Figure::DescriptorsAtRest,
+        Figure::DescriptorsPeak,
+        Figure::FirstListBytes,
+        Figure::ChangeBytes,
+        Figure::RestBytesPerSecond,
+        Figure::CallBytes,
+        Figure::WorkerReadBytes,
+        Figure::WorkerWrittenBytes,
+        Figure::WorkerConnections,
+        Figure::ConfirmedAfter,
+        Figure::RestartBytes,
+        Figure::RestartAfter,
+    ];
+
+    /// Its name with its unit.
+    pub fn label(self) -> &'static str {
+        match self {
+            Figure::IdleProcessor => "processor at rest, % of a core",
+            Figure::RequestProcessor => "processor a request, us",
+            Figure::ChangeProcessor => "processor a change, us",
+            Figure::ResidentAtRest => "resident at rest, KiB",
+            Figure::ResidentPeak => "resident peak, KiB",
+            Figure::DescriptorsAtRest => "descriptors at rest",
+            Figure::DescriptorsPeak => "descriptors under requests",
+            Figure::FirstListBytes => "first list, bytes",
+            Figure::ChangeBytes => "a change, bytes",
+            Figure::RestBytesPerSecond => "list service at rest, bytes/s",
+            Figure::CallBytes => "list call, bytes",
+            Figure::WorkerReadBytes => "workers read a request, bytes",
+            Figure::WorkerWrittenBytes => "workers wrote a request, bytes",
+            Figure::WorkerConnections => "worker connections a request",
+            Figure::ConfirmedAfter => "list confirmed, s",
+            Figure::RestartBytes => "restart of all, bytes",
+            Figure::RestartAfter => "restart of all, s",
+        }
+    }
+}
+
+/// A figure with its value.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Measured {
+    /// Which.
+    pub figure: Figure,
+    /// Its value, in the unit of the figure.
+    pub value: f64,
+}
--- /dev/null
+++ b/crates/rig/src/scale/plan.rs
@@ -0,0 +1,155 @@
+//! What is asked for on the command line, and whether it makes sense on this machine.
+
+use crate::scale::usage;
+use crate::time::{Micros, SECOND};
+use argh::FromArgs;
+use serde::{Deserialize, Serialize};
+use std::fs::OpenOptions;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+
+/// Most processes, sizes and workers of a size.
+pub const MOST_DISPATCHERS: usize = 300;
+/// See [`MOST_DISPATCHERS`].
+pub const MOST_SIZES: usize = 16;
+/// See [`MOST_DISPATCHERS`]; each worker has an address of one net of 127/8.
+pub const MOST_WORKERS: usize = 60_000;
+/// Most requests and changes a second, and the longest phase in seconds.
+const MOST_RATE: f64 = 1000.0;
+/// See [`MOST_RATE`].
+const LONGEST: f64 = 120.0;
+/// A dispatcher without workers takes about so much, in KiB.
+const LEAST_KIB: u64 = 6 * 1024;
+
+/// Measure how the cost of real dispatchers grows with the number of workers in the list.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+pub struct Arguments {
+    /// numbers of workers, one trial each (default: 60,700,1450,2900,5000)
+    #[argh(option, default = "Sizes(vec![60, 700, 1450, 2900, 5000])")]
+    workers: Sizes,
+    /// dispatchers, each a process (default: 4, at most 300)
+    #[argh(option, default = "4")]
+    dispatchers: usize,
+    /// requests a second at each dispatcher (default: 50)
+    #[argh(option, default = "50.0")]
+    requests_per_s: f64,
+    /// changes of the list a second (default: 10)
+    #[argh(option, default = "10.0")]
+    changes_per_s: f64,
+    /// length of each of the three phases that are measured, at rest, with changes and with requests (default: 4)
+    #[argh(option, default = "4.0")]
+    seconds: f64,
+    /// for everything that is drawn (default: 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// kill all dispatchers and start them together at the end of each trial
+    #[argh(switch)]
+    restart: bool,
+    /// the program (default: `roselock` beside this one)
+    #[argh(option)]
+    program: Option<PathBuf>,
+    /// where the figures go, as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+    /// where the chart goes, as SVG
+    #[argh(option)]
+    svg: Option<PathBuf>,
+}
+
+/// Numbers of workers, with commas between them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sizes(pub Vec<usize>);
+
+impl FromStr for Sizes {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Sizes, String> {
+        let size = |word: &str| {
+            let number =
+                word.trim().parse::<usize>().map_err(|_| format!("{word:?} is no number of workers"))?;
+            if !(1..=MOST_WORKERS).contains(&number) {
+                return Err(format!("{number} workers: must be between 1 and {MOST_WORKERS}"));
+            }
+            Ok(number)
+        };
+        let sizes = text.split(',').map(size).collect::<Result<Vec<usize>, String>>()?;
+        if sizes.len() > MOST_SIZES {
+            return Err(format!("{} sizes: at most {MOST_SIZES}", sizes.len()));
+        }
+        Ok(Sizes(sizes))
+    }
+}
+
+/// What is to be measured.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Plan {
+    /// Numbers of workers.
+    pub sizes: Vec<usize>,
+    /// Dispatchers.
+    pub dispatchers: usize,
+    /// Requests a second at each dispatcher.
+    pub requests_per_s: f64,
+    /// Changes of the list a second.
+    pub changes_per_s: f64,
+    /// Length of each phase.
+    pub phase: Micros,
+    /// For everything that is drawn.
+    pub seed: u64,
+    /// Whether all dispatchers are killed and started together at the end.
+    pub restart: bool,
+    /// The program.
+    #[serde(skip)]
+    pub program: PathBuf,
+    /// Where the figures go, as JSON.
+    #[serde(skip)]
+    pub json: Option<PathBuf>,
+    /// Where the chart goes, as SVG.
+    #[serde(skip)]
+    pub svg: Option<PathBuf>,
+}
+
+impl Plan {
+    /// Checks what is asked for; `beside` is the program if none is named.
+    pub fn new(arguments: Arguments, beside: PathBuf) -> Result<Plan, String> {
+        if !(1..=MOST_DISPATCHERS).contains(&arguments.dispatchers) {
+            return Err(format!("--dispatchers must be between 1 and {MOST_DISPATCHERS}"));
+        }
+        between("--requests-per-s", arguments.requests_per_s, MOST_RATE)?;
+        between("--changes-per-s", arguments.changes_per_s, MOST_RATE)?;
+        between("--seconds", arguments.seconds, LONGEST)?;
+        let machine = usage::machine_kib().map_err(|e| e.to_string())?;
+        if arguments.dispatchers as u64 * LEAST_KIB > machine / 2 {
+            let (many, half) = (arguments.dispatchers, machine / 2048);
+            return Err(format!("{many} dispatchers do not fit into half of the memory ({half} MiB)"));
+        }
+        let program = arguments.program.unwrap_or(beside);
+        if !program.is_file() {
+            return Err(format!("{} is no program; build it, or name one with --program", program.display()));
+        }
+        arguments.json.iter().chain(&arguments.svg).try_for_each(|path| writable(path))?;
+        Ok(Plan {
+            sizes: arguments.workers.0,
+            dispatchers: arguments.dispatchers,
+            requests_per_s: arguments.requests_per_s,
+            changes_per_s: arguments.changes_per_s,
+            phase: (arguments.seconds * SECOND as f64) as Micros,
+            seed: arguments.seed,
+            restart: arguments.restart,
+            program,
+            json: arguments.json,
+            svg: arguments.svg,
+        })
+    }
+}
+
+/// Refuses what is not above 0 or above the most; what is no number, too.
+fn between(name: &str, value: f64, most: f64) -> Result<(), String> {
+    if value > 0.0 && value <= most { Ok(()) } else { Err(format!("{name} must be above 0, at most {most}")) }
+}
+
+/// A file that cannot be written is found before the trials, not after them.
+fn writable(path: &Path) -> Result<(), String> {
+    let opened = OpenOptions::new().create(true).append(true).open(path);
+    opened.map(|_| ()).map_err(|e| format!("{}: {e}", path.display()))
+}
--- /dev/null
+++ b/crates/rig/src/scale/table.rs
@@ -0,0 +1,78 @@
+//! A measurement as text: a table of the values, and one of the laws.
+
+use crate::scale::figure::Figure;
+use crate::scale::load::RequestCount;
+use crate::scale::report::{Law, Outcome, Report, Row};
+use std::fmt::Write;
+
+/// Both tables, and a line for each size that was refused.
+pub fn text(report: &Report) -> String {
+    let mut text = values(report);
+    text.push('\n');
+    text += &laws(&report.laws);
+    for row in &report.rows {
+        if let Outcome::Refused { reason } = &row.outcome {
+            let _ = writeln!(text, "\n{} workers: refused: {reason}", row.workers);
+        }
+    }
+    text
+}
+
+/// What is told of a size as soon as it is measured.
+pub fn line(row: &Row) -> String {
+    match &row.outcome {
+        Outcome::Measured { requests, .. } => {
+            format!("{} workers, a list of {} bytes: {}", row.workers, row.list_bytes, ends(requests))
+        }
+        Outcome::Refused { reason } => format!("{} workers: refused: {reason}", row.workers),
+    }
+}
+
+fn ends(requests: &RequestCount) -> String {
+    let RequestCount { served, refused, failed, not_sent } = requests;
+    format!("requests: {served} served, {refused} refused, {failed} failed, {not_sent} not sent")
+}
+
+/// A row for each figure, a column for each size.
+fn values(report: &Report) -> String {
+    let sizes: Vec<String> = report.rows.iter().map(|row| row.workers.to_string()).collect();
+    let mut text = format!("| workers | {} |\n|{}\n", sizes.join(" | "), " --- |".repeat(sizes.len() + 1));
+    for figure in Figure::ALL {
+        let value = |row: &Row| match row.outcome {
+            Outcome::Measured { .. } => row.value(figure).map_or("-".to_owned(), shown),
+            Outcome::Refused { .. } => "refused".to_owned(),
+        };
+        if report.rows.iter().any(|row| row.value(figure).is_some()) {
+            let cells: Vec<String> = report.rows.iter().map(value).collect();
+            let _ = writeln!(text, "| {} | {} |", figure.label(), cells.join(" | "));
+        }
+    }
+    text
+}
+
+fn laws(laws: &[Law]) -> String {
+    let mut text = String::from(
+        "| figure | a worker adds | constant | largest residual, % of the mean | linear |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for Law { figure, line, linear } in laws {
+        let residual = format!("{:.1} at {:.0}", line.largest_residual * 100.0, line.residual_at);
+        let verdict = match (line.checked, linear) {
+            (false, _) => "two sizes cannot tell",
+            (true, true) => "yes",
+            (true, false) => "NO",
+        };
+        let (slope, constant) = (shown(line.slope), shown(line.constant));
+        let _ = writeln!(text, "| {} | {slope} | {constant} | {residual} | {verdict} |", figure.label());
+    }
+    text
+}
+
+/// Three digits that count, or all before the point; at most nine behind it.
+fn shown(value: f64) -> String {
+    let size = value.abs();
+    if size >= 100.0 || size == 0.0 {
+        return format!("{value:.0}");
+    }
+    let digits = (2.0 - size.log10().floor()).clamp(0.0, 9.0) as usize;
+    format!("{value:.digits$}")
+}
--- /dev/null
+++ b/crates/rig/tests/scale.rs
@@ -0,0 +1,238 @@
+//! The measurement over numbers of workers: what can be counted is exact, and what makes no sense is refused. No test
+//! here looks at a time or a share of the processor.
+
+use roselock_rig::list::{Line, object};
+use roselock_rig::scale::fit::{Point, fit};
+use roselock_rig::scale::hollow::{HollowWorkers, uid};
+use roselock_rig::scale::plan::Sizes;
+use roselock_rig::scale::registry::Registry;
+use roselock_rig::scale::usage::Usage;
+use roselock_rig::{Clock, net};
+use rstest::rstest;
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn connect(to: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect_timeout(&to, PATIENCE).expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time limit");
+    stream
+}
+
+/// Reads until these bytes have come; all that came.
+fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = String::new();
+    let mut buffer = [0; 64 * 1024];
+    while !text.ends_with(end) {
+        let read = stream.read(&mut buffer).expect("more bytes");
+        assert!(read > 0, "the connection ended after {} bytes", text.len());
+        text += std::str::from_utf8(&buffer[..read]).expect("text");
+    }
+    text
+}
+
+fn watch(registry: &Registry) -> TcpStream {
+    let mut stream = connect(registry.address(0));
+    stream
+        .write_all(b"GET /registry/instances?watch=1&after=0 HTTP/1.1\r\nHost: a\r\n\r\n")
+        .expect("written");
+    stream
+}
+
+/// Bytes that the service has written so far, once they are as many as were read: it counts just after it writes.
+fn written(registry: &Registry, read: usize) -> u64 {
+    let until = Instant::now() + PATIENCE;
+    let counted = || registry.traffic(0).written >= read as u64 && registry.first_list(0).is_some();
+    while !counted() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    registry.traffic(0).written
+}
+
+/// A list service and workers, in a net that is theirs while the claim is held.
+struct StandIns {
+    registry: Arc<Registry>,
+    workers: Arc<HollowWorkers>,
+    _claim: TcpListener,
+}
+
+fn stand_ins(workers: usize) -> StandIns {
+    let clock = Clock::start();
+    let (net, claim) = net::claim_net().expect("a net");
+    let nobody = vec![SocketAddr::from((Ipv4Addr::LOCALHOST, 1))];
+    let workers = HollowWorkers::start(workers, net, nobody, clock).expect("workers");
+    let registry = Registry::start(workers.lines(), 1, clock).expect("a list service");
+    StandIns { registry, workers, _claim: claim }
+}
+
+/// Each worker adds the bytes of its line and a comma: what the service counts is what a reader gets.
+#[rstest]
+fn the_first_list_grows_by_the_bytes_of_each_line() {
+    let counted = [1, 700, 5000].map(|count| {
+        let StandIns { registry, workers, _claim } = stand_ins(count);
+        let got = read_until(&mut watch(&registry), "]}\n\r\n");
+        let line = |l: &Line| object(0, false, std::slice::from_ref(l)).len();
+        let empty = object(0, false, &[]).len();
+        let lines: usize = workers.lines().iter().map(|l| line(l) - empty + 1).sum();
+        let framed = got.len() - (empty + lines - 1);
+        assert_eq!(written(&registry, got.len()), got.len() as u64);
+        assert_eq!(registry.first_list(0).expect("a list").written, got.len() as u64);
+        assert!(framed <= 64, "{framed} bytes around a list of {count}");
+        got.len()
+    });
+    assert!(counted[2] > 4000 * 100 + counted[1], "{counted:?}");
+}
+
+/// Guards against a change that is told with the whole list.
+#[rstest]
+fn a_change_has_the_same_bytes_whatever_the_number_of_workers() {
+    let changes = [2, 700, 5000].map(|count| {
+        let StandIns { registry, .. } = &stand_ins(count);
+        let mut stream = watch(registry);
+        let first = read_until(&mut stream, "]}\n\r\n").len();
+        registry.change("draining", 1..2);
+        let got = read_until(&mut stream, "]}\n\r\n");
+        assert_eq!(written(registry, first + got.len()), (first + got.len()) as u64);
+        assert!(got.contains(&uid(1)) && got.contains("draining"), "{got}");
+        got.len()
+    });
+    assert_eq!(changes[0], changes[1]);
+    assert_eq!(changes[1], changes[2]);
+}
+
+/// One listener answers for every worker, and for nobody else.
+#[rstest]
+fn each_worker_answers_at_its_own_address() {
+    let StandIns { workers, .. } = &stand_ins(600);
+    let lines = workers.lines();
+    let addresses: BTreeSet<_> = lines.iter().map(|l| l.endpoint.clone()).collect();
+    let names: BTreeSet<_> = lines.iter().map(|l| l.uid.clone()).collect();
+    assert_eq!((addresses.len(), names.len()), (600, 600));
+    for line in [&lines[0], &lines[249], &lines[250], &lines[599]] {
+        let mut stream = connect(line.endpoint.parse().expect("an address"));
+        stream.write_all(b"DELETE /jobs/d0-1 HTTP/1.1\r\nHost: a\r\n\r\n").expect("written");
+        assert!(read_until(&mut stream, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+    }
+    let port = lines[0].endpoint.parse::<SocketAddr>().expect("an address").port();
+    let mut stream = connect(SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+    let _ = stream.write_all(b"DELETE /jobs/d0-1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(matches!(stream.read(&mut [0; 16]), Ok(0) | Err(_)), "served at an address of no worker");
+    let requests = workers.count().requests;
+    assert_eq!((requests.connections, requests.messages), (4, 4));
+}
+
+#[rstest]
+#[case::first(0, [127, 9, 0, 1])]
+#[case::last_of_a_block(249, [127, 9, 0, 250])]
+#[case::next_block(250, [127, 9, 1, 1])]
+fn addresses_and_numbers_are_one_to_one(#[case] number: usize, #[case] address: [u8; 4]) {
+    assert_eq!(net::address(9, number), Ipv4Addr::from(address));
+    assert_eq!(net::number_at(9, Ipv4Addr::from(address)), Some(number));
+    assert_eq!(net::number_at(8, Ipv4Addr::from(address)), None);
+    assert_eq!(net::number_at(9, Ipv4Addr::new(127, 9, 0, 251)), None);
+}
+
+fn points(value: fn(f64) -> f64) -> Vec<Point> {
+    [60.0, 700.0, 1450.0, 2900.0, 5000.0].map(|workers| Point { workers, value: value(workers) }).to_vec()
+}
+
+#[rstest]
+#[case::line(|w| 3.0 * w + 20.0, 3.0, 20.0)]
+#[case::constant(|_| 159.0, 0.0, 159.0)]
+#[case::nothing(|_| 0.0, 0.0, 0.0)]
+fn exact_values_give_slope_and_constant(
+    #[case] value: fn(f64) -> f64,
+    #[case] slope: f64,
+    #[case] constant: f64,
+) {
+    let line = fit(&points(value)).expect("a line");
+    assert!((line.slope - slope).abs() < 1e-9 && (line.constant - constant).abs() < 1e-6, "{line:?}");
+    assert!(line.largest_residual < 1e-9 && line.is_linear() && line.checked, "{line:?}");
+}
+
+#[rstest]
+#[case::square(|w| w * w)]
+#[case::logarithm(f64::ln)]
+#[case::jump(|w| if w < 2000.0 { 1.0 } else { 2.0 })]
+fn a_bent_law_is_found(#[case] value: fn(f64) -> f64) {
+    assert!(!fit(&points(value)).expect("a line").is_linear());
+}
+
+/// The residual of the middle of three is that share of the mean: 10 above a line through 0, 100 and 200 leaves 6.67.
+#[rstest]
+fn the_largest_residual_is_a_share_of_the_mean() {
+    let values = [(0.0, 0.0), (1.0, 110.0), (2.0, 200.0)].map(|(workers, value)| Point { workers, value });
+    let line = fit(&values).expect("a line");
+    assert!((line.largest_residual - (20.0 / 3.0) / (310.0 / 3.0)).abs() < 1e-12, "{line:?}");
+    assert_eq!(line.residual_at, 1.0);
+}
+
+#[rstest]
+fn one_size_has_no_law_and_two_cannot_tell_a_bend() {
+    let points = points(|w| w);
+    assert_eq!(fit(&points[..1]), None);
+    assert_eq!(fit(&[points[0], points[0]]), None);
+    assert!(!fit(&points[..2]).expect("a line").checked);
+}
+
+#[rstest]
+#[case("60,700", Ok(vec![60, 700]))]
+#[case("60, 700", Ok(vec![60, 700]))]
+#[case("0", Err("between 1 and"))]
+#[case("60,many", Err("\"many\" is no number"))]
+#[case("", Err("no number"))]
+#[case("-4", Err("no number"))]
+#[case("60001", Err("between 1 and"))]
+#[case("1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17", Err("at most 16"))]
+fn sizes_are_read(#[case] text: &str, #[case] wanted: Result<Vec<usize>, &str>) {
+    match (text.parse::<Sizes>(), wanted) {
+        (Ok(sizes), Ok(wanted)) => assert_eq!(sizes.0, wanted),
+        (Err(why), Err(word)) => assert!(why.contains(word), "{why}"),
+        (got, wanted) => panic!("{got:?} instead of {wanted:?}"),
+    }
+}
+
+#[rstest]
+#[case(&["--workers", "0"], "between 1 and")]
+#[case(&["--workers", "many"], "is no number")]
+#[case(&["--dispatchers", "0"], "--dispatchers must be")]
+#[case(&["--dispatchers", "301"], "--dispatchers must be")]
+#[case(&["--requests-per-s", "0"], "--requests-per-s must be")]
+#[case(&["--changes-per-s", "NaN"], "--changes-per-s must be")]
+#[case(&["--seconds", "1000"], "--seconds must be")]
+#[case(&["--seconds", "soon"], "--seconds")]
+#[case(&["--program", "/nowhere/roselock"], "is no program")]
+#[case(&["--program", "/bin/sh", "--json", "/nowhere/figures.json"], "/nowhere/figures.json")]
+#[case(&["--program", "/bin/sh", "--svg", "/nowhere/chart.svg"], "/nowhere/chart.svg")]
+fn arguments_that_make_no_sense_end_with_status_2(#[case] arguments: &[&str], #[case] word: &str) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_roselock-rig"));
+    let output = command.arg("scale").args(arguments).output().expect("it runs");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    assert!(said.contains(word), "{said}");
+    assert!(output.stdout.is_empty(), "{output:?}");
+}
+
+/// A program that ends at once is an error of the measurement, not an empty row.
+#[rstest]
+fn a_program_that_ends_is_an_error() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_roselock-rig"));
+    let output =
+        command.args(["scale", "--workers", "3", "--program", "/bin/true"]).output().expect("it runs");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(2), "{said}");
+    assert!(said.contains("ended unasked"), "{said}");
+}
+
+#[rstest]
+fn the_usage_of_a_process_is_read() {
+    let usage = Usage::of(std::process::id()).expect("its own figures");
+    assert!(usage.processor_ns > 0 && usage.descriptors >= 3, "{usage:?}");
+    assert!(usage.resident_kib > 0 && usage.resident_peak_kib >= usage.resident_kib, "{usage:?}");
+    assert!(Usage::of(u32::MAX).is_err());
+}
--- /dev/null
+++ b/crates/rig/tests/scale_processes.rs
@@ -0,0 +1,92 @@
+//! The measurement over numbers of workers with real dispatchers, at small sizes: only what is counted is looked at.
+
+use roselock_rig::run::program_beside;
+use roselock_rig::scale::figure::Figure;
+use roselock_rig::scale::report::{Outcome, Report};
+use rstest::rstest;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// The program under test. The tests of the whole workspace have built it; those of the rig alone may have not.
+fn program() -> PathBuf {
+    let rig = Path::new(env!("CARGO_BIN_EXE_roselock-rig"));
+    let program = program_beside(rig);
+    if !program.is_file() {
+        let target = rig.parent().and_then(Path::parent).expect("the target folder");
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--locked", "-p", "roselock-dispatcher", "--bin", "roselock", "--target-dir"]);
+        assert!(build.arg(target).status().expect("cargo").success(), "the program was not built");
+    }
+    program
+}
+
+/// What the command wrote.
+struct Measurement {
+    report: Report,
+    chart: String,
+}
+
+fn measured(arguments: &[&str]) -> Measurement {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (json, svg) = (folder.path().join("figures.json"), folder.path().join("chart.svg"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_roselock-rig"));
+    command.arg("scale").args(arguments).arg("--program").arg(program());
+    let output = command.arg("--json").arg(&json).arg("--svg").arg(&svg).output().expect("it runs");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let chart = std::fs::read_to_string(svg).expect("a chart");
+    let figures = std::fs::read_to_string(json).expect("figures");
+    Measurement { report: serde_json::from_str(&figures).expect("figures that can be read"), chart }
+}
+
+/// Guards against figures that are of something else than what passed: the bytes of the list to the last one.
+#[rstest]
+fn real_dispatchers_take_the_bytes_that_the_list_has() {
+    let Measurement { report, chart } = measured(&[
+        "--workers",
+        "40,400",
+        "--dispatchers",
+        "2",
+        "--seconds",
+        "0.5",
+        "--requests-per-s",
+        "40",
+        "--changes-per-s",
+        "8",
+        "--restart",
+    ]);
+    let values = |figure: Figure| -> Vec<f64> { report.points(figure).iter().map(|p| p.value).collect() };
+    let first = values(Figure::FirstListBytes);
+    assert_eq!(first.len(), 2, "{report:?}");
+    for (row, first) in report.rows.iter().zip(&first) {
+        let around = first - row.list_bytes as f64;
+        assert!((0.0..=64.0).contains(&around), "{around} bytes around a list of {}", row.list_bytes);
+        let Outcome::Measured { requests, .. } = &row.outcome else { panic!("{row:?}") };
+        assert_eq!(requests.sent() + requests.not_sent, 2 * 20, "{requests:?}");
+        assert!(requests.served > 0, "{requests:?}");
+    }
+    assert_eq!(first[1] - first[0], (report.rows[1].list_bytes - report.rows[0].list_bytes) as f64);
+    assert!(chart.starts_with("<svg") && chart.contains(Figure::FirstListBytes.label()), "{chart}");
+    for figure in [Figure::ChangeBytes, Figure::CallBytes] {
+        let values = values(figure);
+        assert!(values[0] > 0.0 && values[0] == values[1], "{figure:?}: {values:?}");
+    }
+    // No dispatcher keeps the list over a kill.
+    assert!(
+        values(Figure::RestartBytes).iter().zip(&first).all(|(again, first)| again >= first),
+        "{report:?}"
+    );
+    assert!(values(Figure::ResidentAtRest).iter().all(|kib| *kib > 0.0), "{report:?}");
+}
+
+/// More than 1 MiB is not read: that is a row which says so, and no failure of the measurement.
+#[rstest]
+fn a_list_that_is_too_long_is_told_as_refused() {
+    let Measurement { report, chart } =
+        measured(&["--workers", "9000", "--dispatchers", "1", "--seconds", "0.5"]);
+    let [row] = &report.rows[..] else { panic!("{report:?}") };
+    assert!(row.list_bytes > 1 << 20, "{} bytes", row.list_bytes);
+    let Outcome::Refused { reason } = &row.outcome else { panic!("{row:?}") };
+    assert!(reason.contains("did not take a list of") && reason.contains("413"), "{reason}");
+    assert!(report.laws.is_empty(), "{report:?}");
+    assert!(chart.contains("no size was measured"), "{chart}");
+}
