Rig scale: several plays of a size, and a move of the list service

A single play of a change's processor time was off the line by 5 or by 27%, depending on what else the machine did, and nothing in the table told the two apart. `--plays N` measures size after size N times and shows medians; the table of laws has a column of how far plays of one size differ.

`--move` has the list service move at the end of a trial and all dispatchers read their configuration again, as the scenario `moved` does beside four workers. A dispatcher has followed once it opens a watch at the new address, which only one that took the whole list there does. Where one does not, or where it does not come back from `--restart`, the row keeps its figures and names the fault.

Cause: the whole list by a plain call (after a move, after changes that go back, after a list of nobody) is read with the bound of a body, 64 KiB, not with that of a watch, 1 MiB: dispatcher/src/wire/http.rs refuses it with 413, so beyond some 550 workers a dispatcher asks again and again and keeps the list it had. Seen with the release build in a copy of the scenario `moved` with 2 dispatchers: beside 400 workers 6 calls to the list service, beside 700 workers 16 and no watch at the new address in 8 s (one play each). Not mended here: the file is not the rig's.

--- a/crates/rig/src/scale.rs
+++ b/crates/rig/src/scale.rs
@@ -19,19 +19,22 @@
 pub mod usage;
 
 use plan::Plan;
-use report::Report;
+use report::{Report, Row};
 
 /// Measures every size of a plan, one after another, and writes the files that it names; each row is told as it comes.
-pub fn measure(plan: &Plan, told: impl Fn(&report::Row)) -> Result<Report, String> {
+pub fn measure(plan: &Plan, told: impl Fn(&Row)) -> Result<Report, String> {
     crate::net::raise_limits();
     may::config().set_stack_size(STACK);
-    let mut rows = Vec::new();
-    for workers in &plan.sizes {
-        let row = trial::measure(plan, *workers).map_err(|e| format!("{workers} workers: {e}"))?;
-        told(&row);
-        rows.push(row);
+    let mut plays: Vec<Vec<Row>> = vec![Vec::new(); plan.sizes.len()];
+    // Size after size in each play: what else the machine does falls on all of them.
+    for _ in 0..plan.plays {
+        for (workers, rows) in plan.sizes.iter().zip(&mut plays) {
+            let row = trial::measure(plan, *workers).map_err(|e| format!("{workers} workers: {e}"))?;
+            told(&row);
+            rows.push(row);
+        }
     }
-    let report = Report::new(plan, rows);
+    let report = Report::new(plan, plays.into_iter().filter_map(Row::of_plays).collect());
     if let Some(path) = &plan.json {
         let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
         std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
--- a/crates/rig/src/scale/chart.rs
+++ b/crates/rig/src/scale/chart.rs
@@ -60,7 +60,14 @@
         .x_label_area_size(28)
         .y_label_area_size(52)
         .build_cartesian_2d(0.0..right, bottom..top)?;
-    chart.configure_mesh().x_desc("workers").x_labels(6).y_labels(6).max_light_lines(0).draw()?;
+    chart
+        .configure_mesh()
+        .x_desc("workers")
+        .x_labels(6)
+        .y_labels(6)
+        .x_label_formatter(&|workers| format!("{workers:.0}"))
+        .max_light_lines(0)
+        .draw()?;
     let colour = if law.is_none_or(|law| law.linear) { RGBColor(20, 120, 60) } else { RGBColor(190, 20, 20) };
     chart.draw_series(LineSeries::new(line, colour.stroke_width(2)))?;
     chart.draw_series(points.into_iter().map(|point| Circle::new(point, DOT, colour.filled())))?;
--- a/crates/rig/src/scale/figure.rs
+++ b/crates/rig/src/scale/figure.rs
@@ -37,6 +37,10 @@
     WorkerConnections,
     /// From the start of a dispatcher to its confirmed list in seconds, by its own figures; the last one.
     ConfirmedAfter,
+    /// Bytes that the list service wrote when it had moved and all dispatchers were told, for a dispatcher.
+    MoveBytes,
+    /// From then until all had the whole list at the new address, in seconds.
+    MoveAfter,
     /// Bytes that the list service wrote when all dispatchers were killed and started together, for a dispatcher.
     RestartBytes,
     /// From then until all had the list confirmed, in seconds.
@@ -45,7 +49,7 @@
 
 impl Figure {
     /// All of them, in the order in which they are shown.
-    pub const ALL: [Figure; 17] = [
+    pub const ALL: [Figure; 19] = [
         Figure::IdleProcessor,
         Figure::RequestProcessor,
         Figure::ChangeProcessor,
@@ -61,6 +65,8 @@
         Figure::WorkerWrittenBytes,
         Figure::WorkerConnections,
         Figure::ConfirmedAfter,
+        Figure::MoveBytes,
+        Figure::MoveAfter,
         Figure::RestartBytes,
         Figure::RestartAfter,
     ];
@@ -83,17 +89,40 @@
             Figure::WorkerWrittenBytes => "workers wrote a request, bytes",
             Figure::WorkerConnections => "worker connections a request",
             Figure::ConfirmedAfter => "list confirmed, s",
+            Figure::MoveBytes => "move of the list service, bytes",
+            Figure::MoveAfter => "move of the list service, s",
             Figure::RestartBytes => "restart of all, bytes",
             Figure::RestartAfter => "restart of all, s",
         }
     }
 }
 
-/// A figure with its value.
+/// A figure with its value: the median of the plays, and what they lie between.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Measured {
     /// Which.
     pub figure: Figure,
     /// Its value, in the unit of the figure.
     pub value: f64,
+    /// The least of a play.
+    pub least: f64,
+    /// The most of one.
+    pub most: f64,
+}
+
+impl Measured {
+    /// The value of one play.
+    pub fn once(figure: Figure, value: f64) -> Measured {
+        Measured { figure, value, least: value, most: value }
+    }
+
+    /// Of several plays; none without any.
+    pub fn of(figure: Figure, mut values: Vec<f64>) -> Option<Measured> {
+        values.sort_by(f64::total_cmp);
+        let (least, most) = (*values.first()?, *values.last()?);
+        let middle = values.len() / 2;
+        let value =
+            if values.len() % 2 == 1 { values[middle] } else { (values[middle - 1] + values[middle]) / 2.0 };
+        Some(Measured { figure, value, least, most })
+    }
 }
--- a/crates/rig/src/scale/load.rs
+++ b/crates/rig/src/scale/load.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::net::SocketAddr;
+use std::ops::AddAssign;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -28,6 +29,15 @@
     pub not_sent: u64,
 }
 
+impl AddAssign for RequestCount {
+    fn add_assign(&mut self, other: RequestCount) {
+        self.served += other.served;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        self.not_sent += other.not_sent;
+    }
+}
+
 impl RequestCount {
     /// Those that reached a dispatcher.
     pub fn sent(&self) -> u64 {
--- a/crates/rig/src/scale/party.rs
+++ b/crates/rig/src/scale/party.rs
@@ -88,7 +88,7 @@
             listen: *listen,
             admin: SocketAddr::from((listen.ip(), admin_port)),
             list: registry.address(number),
-            moved: registry.address(number),
+            moved: registry.moved(number),
             folder: folder.path().join(format!("n{number}")),
         };
         let places = listen.iter().enumerate().map(place).collect();
@@ -127,6 +127,12 @@
         self.nodes.clear();
     }
 
+    /// The list service moves, and all dispatchers are told to read their configuration again.
+    pub fn move_registry(&self) -> Result<(), String> {
+        (0..self.places.len()).for_each(|d| self.registry.forget(d));
+        self.nodes.iter().try_for_each(Node::move_list)
+    }
+
     /// Lets time pass. A process that ends unasked is an error, and so is too much memory in all.
     pub fn pass(&mut self, span: Micros) -> Result<(), String> {
         let until = self.clock.now() + span;
--- a/crates/rig/src/scale/plan.rs
+++ b/crates/rig/src/scale/plan.rs
@@ -14,6 +14,8 @@
 pub const MOST_SIZES: usize = 16;
 /// See [`MOST_DISPATCHERS`]; each worker has an address of one net of 127/8.
 pub const MOST_WORKERS: usize = 60_000;
+/// Most plays of a size.
+const MOST_PLAYS: usize = 9;
 /// Most requests and changes a second, and the longest phase in seconds.
 const MOST_RATE: f64 = 1000.0;
 /// See [`MOST_RATE`].
@@ -43,6 +45,12 @@
     /// for everything that is drawn (default: 1)
     #[argh(option, default = "1")]
     seed: u64,
+    /// how often each size is measured; medians are shown (default: 1, at most 9)
+    #[argh(option, default = "1")]
+    plays: usize,
+    /// move the list service at the end of each trial, and tell all dispatchers
+    #[argh(switch, long = "move")]
+    moves: bool,
     /// kill all dispatchers and start them together at the end of each trial
     #[argh(switch)]
     restart: bool,
@@ -96,6 +104,10 @@
     pub phase: Micros,
     /// For everything that is drawn.
     pub seed: u64,
+    /// How often each size is measured.
+    pub plays: usize,
+    /// Whether the list service moves at the end.
+    pub moves: bool,
     /// Whether all dispatchers are killed and started together at the end.
     pub restart: bool,
     /// The program.
@@ -115,6 +127,9 @@
         if !(1..=MOST_DISPATCHERS).contains(&arguments.dispatchers) {
             return Err(format!("--dispatchers must be between 1 and {MOST_DISPATCHERS}"));
         }
+        if !(1..=MOST_PLAYS).contains(&arguments.plays) {
+            return Err(format!("--plays must be between 1 and {MOST_PLAYS}"));
+        }
         between("--requests-per-s", arguments.requests_per_s, MOST_RATE)?;
         between("--changes-per-s", arguments.changes_per_s, MOST_RATE)?;
         between("--seconds", arguments.seconds, LONGEST)?;
@@ -135,6 +150,8 @@
             changes_per_s: arguments.changes_per_s,
             phase: (arguments.seconds * SECOND as f64) as Micros,
             seed: arguments.seed,
+            plays: arguments.plays,
+            moves: arguments.moves,
             restart: arguments.restart,
             program,
             json: arguments.json,
--- a/crates/rig/src/scale/registry.rs
+++ b/crates/rig/src/scale/registry.rs
@@ -21,6 +21,10 @@
 /// What the service keeps of one dispatcher.
 struct Subscriber {
     address: SocketAddr,
+    /// Where it is after it has moved.
+    moved: SocketAddr,
+    /// Whether a watch was opened there: only who has taken the whole list there opens one.
+    watched_moved: AtomicBool,
     traffic: Arc<Traffic>,
     /// Lists written whole, and what was counted up to the end of the first one.
     lists: AtomicUsize,
@@ -38,23 +42,26 @@
 impl Registry {
     /// Serves these lines from now on.
     pub fn start(lines: Vec<Line>, dispatchers: usize, clock: Clock) -> io::Result<Arc<Registry>> {
-        let listeners: Vec<TcpListener> =
-            (0..dispatchers).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
-        let subscriber = |listener: &TcpListener| {
-            let address = listener.local_addr()?;
+        let bound =
+            || (0..dispatchers).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<Vec<_>>>();
+        let (listeners, moved) = (bound()?, bound()?);
+        let subscriber = |(listener, moved): (&TcpListener, &TcpListener)| {
             Ok(Subscriber {
-                address,
+                address: listener.local_addr()?,
+                moved: moved.local_addr()?,
+                watched_moved: AtomicBool::new(false),
                 traffic: Arc::default(),
                 lists: AtomicUsize::new(0),
                 first: Mutex::default(),
             })
         };
-        let subscribers = listeners.iter().map(subscriber).collect::<io::Result<_>>()?;
+        let subscribers = listeners.iter().zip(&moved).map(subscriber).collect::<io::Result<_>>()?;
         let list = List::new(lines, dispatchers);
         let registry = Arc::new(Registry { clock, list, subscribers, end: AtomicBool::new(false) });
-        for (number, listener) in listeners.into_iter().enumerate() {
-            let registry = registry.clone();
-            may::go!(move || registry.serve(number, &listener));
+        for (number, (listener, moved)) in listeners.into_iter().zip(moved).enumerate() {
+            let (first, second) = (registry.clone(), registry.clone());
+            may::go!(move || first.serve(number, &listener, false));
+            may::go!(move || second.serve(number, &moved, true));
         }
         Ok(registry)
     }
@@ -64,6 +71,16 @@
         self.subscribers[dispatcher].address
     }
 
+    /// Where a dispatcher finds it after it has moved.
+    pub fn moved(&self, dispatcher: usize) -> SocketAddr {
+        self.subscribers[dispatcher].moved
+    }
+
+    /// Whether a dispatcher has taken the whole list there, and watches.
+    pub fn followed(&self, dispatcher: usize) -> bool {
+        self.subscribers[dispatcher].watched_moved.load(Ordering::SeqCst)
+    }
+
     /// What has passed to and from a dispatcher.
     pub fn traffic(&self, dispatcher: usize) -> TrafficCount {
         self.subscribers[dispatcher].traffic.count()
@@ -101,14 +118,14 @@
     pub fn finish(&self) {
         self.end.store(true, Ordering::SeqCst);
         // Whoever accepts is woken, and sees the end.
-        self.subscribers.iter().for_each(|s| drop(TcpStream::connect(s.address)));
+        self.subscribers.iter().flat_map(|s| [s.address, s.moved]).for_each(|a| drop(TcpStream::connect(a)));
     }
 
     fn ended(&self) -> bool {
         self.end.load(Ordering::SeqCst)
     }
 
-    fn serve(self: &Arc<Registry>, dispatcher: usize, listener: &TcpListener) {
+    fn serve(self: &Arc<Registry>, dispatcher: usize, listener: &TcpListener, moved: bool) {
         for stream in listener.incoming() {
             if self.ended() {
                 return;
@@ -116,15 +133,16 @@
             let Ok(stream) = stream else { continue };
             let registry = self.clone();
             let connection = Connection::new(stream).counted(&self.subscribers[dispatcher].traffic);
-            may::go!(move || _ = registry.talk(dispatcher, connection));
+            may::go!(move || _ = registry.talk(dispatcher, connection, moved));
         }
     }
 
-    fn talk(&self, dispatcher: usize, mut connection: Connection) -> io::Result<()> {
+    fn talk(&self, dispatcher: usize, mut connection: Connection, moved: bool) -> io::Result<()> {
         while let Some(request) = connection.read()? {
             let path = &request.start[1];
             let after = path.split_once("after=").and_then(|(_, rev)| rev.parse().ok());
             if path.contains("watch=1") {
+                self.subscribers[dispatcher].watched_moved.fetch_or(moved, Ordering::SeqCst);
                 return self.watch(dispatcher, connection, after.unwrap_or(0));
             }
             let (rev, lines) = self.list.lines();
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -27,6 +27,8 @@
         figures: Vec<Measured>,
         /// How the requests ended that they are of.
         requests: RequestCount,
+        /// What did not go as it should.
+        faults: Vec<String>,
     },
     /// The dispatchers did not take a list of this size.
     Refused {
@@ -38,8 +40,31 @@
 impl Row {
     /// The value of a figure, if it was measured.
     pub fn value(&self, figure: Figure) -> Option<f64> {
+        self.measured(figure).map(|m| m.value)
+    }
+
+    fn measured(&self, figure: Figure) -> Option<&Measured> {
         let Outcome::Measured { figures, .. } = &self.outcome else { return None };
-        figures.iter().find(|m| m.figure == figure).map(|m| m.value)
+        figures.iter().find(|m| m.figure == figure)
+    }
+
+    /// The row of several plays of one size: medians, and the requests of all. A play that was refused goes first.
+    pub fn of_plays(plays: Vec<Row>) -> Option<Row> {
+        if let Some(refused) = plays.iter().find(|row| matches!(row.outcome, Outcome::Refused { .. })) {
+            return Some(refused.clone());
+        }
+        let first = plays.first()?;
+        let values = |figure| plays.iter().filter_map(|row| row.value(figure)).collect();
+        let figures = Figure::ALL.into_iter().filter_map(|f| Measured::of(f, values(f))).collect();
+        let (mut all_requests, mut all_faults) = (RequestCount::default(), Vec::new());
+        for row in &plays {
+            if let Outcome::Measured { requests, faults, .. } = &row.outcome {
+                all_requests += *requests;
+                all_faults.extend(faults.iter().cloned());
+            }
+        }
+        let outcome = Outcome::Measured { figures, requests: all_requests, faults: all_faults };
+        Some(Row { outcome, ..first.clone() })
     }
 }
 
@@ -52,6 +77,8 @@
     pub line: Line,
     /// Whether all values are near the line.
     pub linear: bool,
+    /// The most by which plays of one size differ, as a share of the mean of the values.
+    pub spread: f64,
 }
 
 /// A measurement.
@@ -70,7 +97,7 @@
     pub fn new(plan: &Plan, rows: Vec<Row>) -> Report {
         let law = |figure: Figure| {
             let line = fit(&points(&rows, figure))?;
-            Some(Law { figure, line, linear: line.is_linear() })
+            Some(Law { figure, line, linear: line.is_linear(), spread: spread(&rows, figure) })
         };
         let laws = Figure::ALL.into_iter().filter_map(law).collect();
         Report { plan: plan.clone(), rows, laws }
@@ -86,3 +113,11 @@
     let point = |row: &Row| Some(Point { workers: row.workers as f64, value: row.value(figure)? });
     rows.iter().filter_map(point).collect()
 }
+
+/// The most by which plays of one size differ, as a share of the mean.
+fn spread(rows: &[Row], figure: Figure) -> f64 {
+    let values: Vec<&Measured> = rows.iter().filter_map(|row| row.measured(figure)).collect();
+    let mean = values.iter().map(|m| m.value.abs()).sum::<f64>() / values.len().max(1) as f64;
+    let most = values.iter().map(|m| m.most - m.least).fold(0.0, f64::max);
+    if mean > 0.0 { most / mean } else { 0.0 }
+}
--- a/crates/rig/src/scale/table.rs
+++ b/crates/rig/src/scale/table.rs
@@ -5,14 +5,19 @@
 use crate::scale::report::{Law, Outcome, Report, Row};
 use std::fmt::Write;
 
-/// Both tables, and a line for each size that was refused.
+/// Both tables, and a line for each size that was refused and for each fault.
 pub fn text(report: &Report) -> String {
     let mut text = values(report);
     text.push('\n');
     text += &laws(&report.laws);
     for row in &report.rows {
-        if let Outcome::Refused { reason } = &row.outcome {
-            let _ = writeln!(text, "\n{} workers: refused: {reason}", row.workers);
+        match &row.outcome {
+            Outcome::Refused { reason } => {
+                let _ = writeln!(text, "\n{} workers: refused: {reason}", row.workers);
+            }
+            Outcome::Measured { faults, .. } => {
+                faults.iter().for_each(|fault| _ = writeln!(text, "\n{} workers: {fault}", row.workers));
+            }
         }
     }
     text
@@ -52,9 +57,9 @@
 
 fn laws(laws: &[Law]) -> String {
     let mut text = String::from(
-        "| figure | a worker adds | constant | largest residual, % of the mean | linear |\n| --- | --- | --- | --- | --- |\n",
+        "| figure | a worker adds | constant | largest residual, % of the mean | plays differ by, % | linear |\n| --- | --- | --- | --- | --- | --- |\n",
     );
-    for Law { figure, line, linear } in laws {
+    for Law { figure, line, linear, spread } in laws {
         let residual = format!("{:.1} at {:.0}", line.largest_residual * 100.0, line.residual_at);
         let verdict = match (line.checked, linear) {
             (false, _) => "two sizes cannot tell",
@@ -62,7 +67,9 @@
             (true, false) => "NO",
         };
         let (slope, constant) = (shown(line.slope), shown(line.constant));
-        let _ = writeln!(text, "| {} | {slope} | {constant} | {residual} | {verdict} |", figure.label());
+        let spread = format!("{:.1}", spread * 100.0);
+        let cells = [figure.label(), &slope, &constant, &residual, &spread, verdict];
+        let _ = writeln!(text, "| {} |", cells.join(" | "));
     }
     text
 }
--- a/crates/rig/src/scale/trial.rs
+++ b/crates/rig/src/scale/trial.rs
@@ -112,31 +112,35 @@
     let by_request = |total: f64| total / sent.max(1) as f64;
     let last = parties.sample()?;
     let mut figures = vec![
-        measured(Figure::IdleProcessor, idle_us_per_s / dispatchers / SECOND as f64 * 100.0),
-        measured(Figure::RequestProcessor, by_request(beyond_rest(&requests))),
-        measured(Figure::ChangeProcessor, beyond_rest(&changes) / dispatchers / count as f64),
-        measured(Figure::ResidentAtRest, most(&rest.to, |u| u.resident_kib)),
-        measured(Figure::ResidentPeak, most(&last, |u| u.resident_peak_kib)),
-        measured(Figure::DescriptorsAtRest, most(&rest.to, |u| u.descriptors)),
-        measured(Figure::DescriptorsPeak, most(&requests.to, |u| u.descriptors)),
-        measured(Figure::FirstListBytes, each(|t| t.written)),
-        measured(Figure::CallBytes, each(|t| t.read)),
-        measured(Figure::ChangeBytes, changes.list_bytes() / dispatchers / count as f64),
-        measured(Figure::RestBytesPerSecond, rest.list_bytes() / dispatchers / rest.seconds()),
-        measured(Figure::WorkerReadBytes, by_request((worker.read + call_back.read) as f64)),
-        measured(Figure::WorkerWrittenBytes, by_request((worker.written + call_back.written) as f64)),
-        measured(Figure::WorkerConnections, by_request(worker.connections as f64)),
-        measured(Figure::ConfirmedAfter, confirmed_after),
+        Measured::once(Figure::IdleProcessor, idle_us_per_s / dispatchers / SECOND as f64 * 100.0),
+        Measured::once(Figure::RequestProcessor, by_request(beyond_rest(&requests))),
+        Measured::once(Figure::ChangeProcessor, beyond_rest(&changes) / dispatchers / count as f64),
+        Measured::once(Figure::ResidentAtRest, most(&rest.to, |u| u.resident_kib)),
+        Measured::once(Figure::ResidentPeak, most(&last, |u| u.resident_peak_kib)),
+        Measured::once(Figure::DescriptorsAtRest, most(&rest.to, |u| u.descriptors)),
+        Measured::once(Figure::DescriptorsPeak, most(&requests.to, |u| u.descriptors)),
+        Measured::once(Figure::FirstListBytes, each(|t| t.written)),
+        Measured::once(Figure::CallBytes, each(|t| t.read)),
+        Measured::once(Figure::ChangeBytes, changes.list_bytes() / dispatchers / count as f64),
+        Measured::once(Figure::RestBytesPerSecond, rest.list_bytes() / dispatchers / rest.seconds()),
+        Measured::once(Figure::WorkerReadBytes, by_request((worker.read + call_back.read) as f64)),
+        Measured::once(Figure::WorkerWrittenBytes, by_request((worker.written + call_back.written) as f64)),
+        Measured::once(Figure::WorkerConnections, by_request(worker.connections as f64)),
+        Measured::once(Figure::ConfirmedAfter, confirmed_after),
     ];
     let requests = last.requests;
+    let mut faults = Vec::new();
+    let mut keep = |measured: Result<[Measured; 2], String>| match measured {
+        Ok(measured) => figures.extend(measured),
+        Err(fault) => faults.push(fault),
+    };
+    if plan.moves {
+        keep(moves(plan, parties)?);
+    }
     if plan.restart {
-        figures.extend(restart(plan, parties, workers)?);
+        keep(restart(plan, parties, workers)?);
     }
-    Ok(Outcome::Measured { figures, requests })
-}
-
-fn measured(figure: Figure, value: f64) -> Measured {
-    Measured { figure, value }
+    Ok(Outcome::Measured { figures, requests, faults })
 }
 
 /// The list is watched, and nothing else happens.
@@ -177,14 +181,47 @@
     Ok(Interval { from, to: parties.sample()? })
 }
 
+/// Bytes that the list service has written to all dispatchers.
+fn written(plan: &Plan, parties: &Parties) -> u64 {
+    (0..plan.dispatchers).map(|d| parties.registry.traffic(d).written).sum()
+}
+
+/// The list service moves, and all dispatchers are told; why there is no figure, if one of them does not follow.
+fn moves(plan: &Plan, parties: &mut Parties) -> Result<Result<[Measured; 2], String>, String> {
+    let (before, began) = (written(plan, parties), parties.clock.now());
+    parties.move_registry()?;
+    loop {
+        let without: Vec<usize> = (0..plan.dispatchers).filter(|d| !parties.registry.followed(*d)).collect();
+        let passed = parties.clock.now() - began;
+        if without.is_empty() {
+            let bytes = (written(plan, parties) - before) as f64 / plan.dispatchers as f64;
+            let seconds = passed as f64 / SECOND as f64;
+            return Ok(Ok([
+                Measured::once(Figure::MoveBytes, bytes),
+                Measured::once(Figure::MoveAfter, seconds),
+            ]));
+        }
+        let refuses = without.iter().any(|d| parties.registry.lists(*d) >= LISTS);
+        if refuses || passed > START {
+            return Ok(Err(format!("after a move of the list service: {}", refusal(parties, &without))));
+        }
+        parties.pass(LOOK)?;
+    }
+}
+
 /// All dispatchers are killed and started together.
-fn restart(plan: &Plan, parties: &mut Parties, workers: usize) -> Result<[Measured; 2], String> {
+fn restart(
+    plan: &Plan,
+    parties: &mut Parties,
+    workers: usize,
+) -> Result<Result<[Measured; 2], String>, String> {
     parties.kill();
-    let written = |p: &Parties| (0..plan.dispatchers).map(|d| p.registry.traffic(d).written).sum::<u64>();
-    let (before, began) = (written(parties), parties.clock.now());
+    let (before, began) = (written(plan, parties), parties.clock.now());
     parties.start()?;
-    confirmed(parties, workers)?.map_err(|reason| format!("after the restart: {reason}"))?;
+    if let Err(reason) = confirmed(parties, workers)? {
+        return Ok(Err(format!("after a restart of all: {reason}")));
+    }
     let seconds = (parties.clock.now() - began) as f64 / SECOND as f64;
-    let bytes = (written(parties) - before) as f64 / plan.dispatchers as f64;
-    Ok([measured(Figure::RestartBytes, bytes), measured(Figure::RestartAfter, seconds)])
+    let bytes = (written(plan, parties) - before) as f64 / plan.dispatchers as f64;
+    Ok(Ok([Measured::once(Figure::RestartBytes, bytes), Measured::once(Figure::RestartAfter, seconds)]))
 }
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -2,10 +2,13 @@
 //! here looks at a time or a share of the processor.
 
 use roselock_rig::list::{Line, object};
+use roselock_rig::scale::figure::{Figure, Measured};
 use roselock_rig::scale::fit::{Point, fit};
 use roselock_rig::scale::hollow::{HollowWorkers, uid};
+use roselock_rig::scale::load::RequestCount;
 use roselock_rig::scale::plan::Sizes;
 use roselock_rig::scale::registry::Registry;
+use roselock_rig::scale::report::{Outcome, Row};
 use roselock_rig::scale::usage::Usage;
 use roselock_rig::{Clock, net};
 use rstest::rstest;
@@ -172,6 +175,34 @@
     assert_eq!(line.residual_at, 1.0);
 }
 
+#[rstest]
+#[case::none(&[], None)]
+#[case::one(&[4.0], Some([4.0, 4.0, 4.0]))]
+#[case::odd(&[9.0, 1.0, 2.0], Some([2.0, 1.0, 9.0]))]
+#[case::even(&[9.0, 1.0, 2.0, 4.0], Some([3.0, 1.0, 9.0]))]
+fn plays_give_their_median_and_bounds(#[case] values: &[f64], #[case] wanted: Option<[f64; 3]>) {
+    let measured = Measured::of(Figure::ChangeProcessor, values.to_vec());
+    assert_eq!(measured.map(|m| [m.value, m.least, m.most]), wanted);
+}
+
+/// Guards against a row of several plays that hides one which was refused or went wrong.
+#[rstest]
+fn a_row_of_plays_keeps_what_went_wrong_in_one() {
+    let figures = vec![Measured::once(Figure::ChangeBytes, 160.0)];
+    let measured = |faults: &[&str]| Outcome::Measured {
+        figures: figures.clone(),
+        requests: RequestCount { served: 3, ..RequestCount::default() },
+        faults: faults.iter().map(|f| (*f).to_owned()).collect(),
+    };
+    let row = |outcome| Row { workers: 7, list_bytes: 900, outcome };
+    let both = Row::of_plays(vec![row(measured(&[])), row(measured(&["late"]))]).expect("a row");
+    let Outcome::Measured { requests, faults, .. } = both.outcome else { panic!("measured") };
+    assert_eq!((requests.served, faults), (6, vec!["late".to_owned()]));
+    let refused = Outcome::Refused { reason: "too long".into() };
+    let both = Row::of_plays(vec![row(measured(&[])), row(refused)]).expect("a row");
+    assert!(matches!(both.outcome, Outcome::Refused { .. }), "{both:?}");
+}
+
 #[rstest]
 fn one_size_has_no_law_and_two_cannot_tell_a_bend() {
     let points = points(|w| w);
@@ -203,6 +234,7 @@
 #[case(&["--dispatchers", "0"], "--dispatchers must be")]
 #[case(&["--dispatchers", "301"], "--dispatchers must be")]
 #[case(&["--requests-per-s", "0"], "--requests-per-s must be")]
+#[case(&["--plays", "0"], "--plays must be")]
 #[case(&["--changes-per-s", "NaN"], "--changes-per-s must be")]
 #[case(&["--seconds", "1000"], "--seconds must be")]
 #[case(&["--seconds", "soon"], "--seconds")]
--- a/crates/rig/tests/scale_processes.rs
+++ b/crates/rig/tests/scale_processes.rs
@@ -52,6 +52,7 @@
         "40",
         "--changes-per-s",
         "8",
+        "--move",
         "--restart",
     ]);
     let values = |figure: Figure| -> Vec<f64> { report.points(figure).iter().map(|p| p.value).collect() };
@@ -60,7 +61,8 @@
     for (row, first) in report.rows.iter().zip(&first) {
         let around = first - row.list_bytes as f64;
         assert!((0.0..=64.0).contains(&around), "{around} bytes around a list of {}", row.list_bytes);
-        let Outcome::Measured { requests, .. } = &row.outcome else { panic!("{row:?}") };
+        let Outcome::Measured { requests, faults, .. } = &row.outcome else { panic!("{row:?}") };
+        assert!(faults.is_empty(), "{faults:?}");
         assert_eq!(requests.sent() + requests.not_sent, 2 * 20, "{requests:?}");
         assert!(requests.served > 0, "{requests:?}");
     }
@@ -70,7 +72,8 @@
         let values = values(figure);
         assert!(values[0] > 0.0 && values[0] == values[1], "{figure:?}: {values:?}");
     }
-    // No dispatcher keeps the list over a kill.
+    // After a move the whole list comes once more; no dispatcher keeps it over a kill.
+    assert!(values(Figure::MoveBytes).iter().zip(&first).all(|(again, first)| again >= first), "{report:?}");
     assert!(
         values(Figure::RestartBytes).iter().zip(&first).all(|(again, first)| again >= first),
         "{report:?}"
