--- a/crates/rig/src/scale/party.rs
+++ b/crates/rig/src/scale/party.rs
@@ -173,6 +173,22 @@
         })
     }
 
+    /// Bytes that the list service has written to a dispatcher, the mean.
+    pub fn list_bytes(&self) -> f64 {
+        let all: u64 = (0..self.places.len()).map(|d| self.registry.traffic(d).written).sum();
+        all as f64 / self.places.len() as f64
+    }
+
+    /// What had passed at the end of the first list of each dispatcher.
+    pub fn first_lists(&self) -> Vec<TrafficCount> {
+        (0..self.places.len()).filter_map(|d| self.registry.first_list(d)).collect()
+    }
+
+    /// Dispatchers that have not followed the list service to its other address.
+    pub fn not_followed(&self) -> Vec<usize> {
+        (0..self.places.len()).filter(|d| !self.registry.followed(*d)).collect()
+    }
+
     /// The figures of each dispatcher; none where it does not answer.
     pub fn metrics(&self) -> Vec<Option<Metrics>> {
         self.places.iter().map(|place| metrics(place.admin).ok()).collect()
