Known red: beside 700 workers no dispatcher follows a list service that moves

Cause: `Reader::response` in dispatcher/src/wire/http.rs refuses a body of more than 64 KiB, and discovery reads the whole list with it where it has no version to watch from: after a move (SIGHUP), after changes that go back, after a list of nobody. A line has some 119 bytes, so beyond some 550 workers the answer is 413 each time, and the dispatcher asks again and again and goes on with the list it had. The watch itself reads lists of up to 1 MiB. A mend would give that call the bound of the watch.

--- a/crates/rig/tests/scale_processes.rs
+++ b/crates/rig/tests/scale_processes.rs
@@ -93,3 +93,15 @@
     assert!(report.laws.is_empty(), "{report:?}");
     assert!(chart.contains("no size was measured"), "{chart}");
 }
+
+/// Found by `--move`: the whole list by a plain call is read with the bound of a body, 64 KiB, so a dispatcher beside
+/// more than some 550 workers never has the list of a service that has moved.
+#[rstest]
+fn a_move_of_the_list_service_is_followed_beside_700_workers() {
+    let arguments = ["--workers", "700", "--dispatchers", "1", "--seconds", "0.2", "--move"];
+    let Measurement { report, .. } = measured(&arguments);
+    let [row] = &report.rows[..] else { panic!("{report:?}") };
+    let Outcome::Measured { faults, .. } = &row.outcome else { panic!("{row:?}") };
+    assert!(faults.is_empty(), "{faults:?}");
+    assert!(row.value(Figure::MoveBytes) >= row.value(Figure::FirstListBytes), "{row:?}");
+}
