Rig scale: ports that are held, and bounds on changes and phases

The stand-ins' listener for all addresses could draw the port that the dispatchers were about to listen on, once in some 28,000 starts; both ports are held on 127.0.0.1 now for as long as the trial lasts. A phase of 0 seconds divided by nothing, and a dispatcher that reads no changes could have 120,000 of them wait for it: phases and rates have a least value, and a phase at most 10,000 changes.

--- a/crates/rig/src/scale/party.rs
+++ b/crates/rig/src/scale/party.rs
@@ -1,6 +1,6 @@
 //! The parties of a trial: the dispatchers as processes, and the stand-ins around them.
 
-use crate::net::{address, claim_net, free_port};
+use crate::net::{address, claim_net};
 use crate::node::{Limits, Node, Place};
 use crate::process::Signal;
 use crate::scale::admin::{Metrics, metrics};
@@ -64,7 +64,8 @@
     plan: Plan,
     most_resident_kib: u64,
     _folder: tempfile::TempDir,
-    _claims: [TcpListener; 2],
+    /// Nets and ports that are ours.
+    _claims: [TcpListener; 4],
 }
 
 impl Parties {
@@ -77,12 +78,14 @@
         let folder = tempfile::tempdir().map_err(failed)?;
         let (net, claim) = claim_net().map_err(failed)?;
         let (workers_net, workers_claim) = claim_net().map_err(failed)?;
-        let port = free_port().map_err(failed)?;
+        // Held, so that no stand-in draws them; the dispatchers' addresses are others.
+        let reserve = || TcpListener::bind("127.0.0.1:0").and_then(|l| Ok((l.local_addr()?.port(), l)));
+        let (port, port_claim) = reserve().map_err(failed)?;
+        let (admin_port, admin_claim) = reserve().map_err(failed)?;
         let listen: Vec<SocketAddr> =
             (0..plan.dispatchers).map(|number| SocketAddr::from((address(net, number), port))).collect();
         let workers = HollowWorkers::start(workers, workers_net, listen.clone(), clock).map_err(failed)?;
         let registry = Registry::start(workers.lines(), plan.dispatchers, clock).map_err(failed)?;
-        let admin_port = free_port().map_err(failed)?;
         let place = |(number, listen): (usize, &SocketAddr)| Place {
             number,
             listen: *listen,
@@ -103,7 +106,7 @@
             plan: plan.clone(),
             most_resident_kib: machine_kib().map_err(failed)? / 2,
             _folder: folder,
-            _claims: [claim, workers_claim],
+            _claims: [claim, workers_claim, port_claim, admin_claim],
         })
     }
 
--- a/crates/rig/src/scale/plan.rs
+++ b/crates/rig/src/scale/plan.rs
@@ -5,6 +5,7 @@
 use argh::FromArgs;
 use serde::{Deserialize, Serialize};
 use std::fs::OpenOptions;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::str::FromStr;
 
@@ -16,10 +17,12 @@
 pub const MOST_WORKERS: usize = 60_000;
 /// Most plays of a size.
 const MOST_PLAYS: usize = 9;
-/// Most requests and changes a second, and the longest phase in seconds.
-const MOST_RATE: f64 = 1000.0;
-/// See [`MOST_RATE`].
-const LONGEST: f64 = 120.0;
+/// Requests at a dispatcher and changes of the list, a second.
+const RATES: RangeInclusive<f64> = 0.1..=1000.0;
+/// Seconds of a phase.
+const PHASES: RangeInclusive<f64> = 0.1..=120.0;
+/// Most changes of a phase: what a dispatcher has not read yet waits in the list service.
+const MOST_CHANGES: f64 = 10_000.0;
 /// A dispatcher without workers takes about so much, in KiB.
 const LEAST_KIB: u64 = 6 * 1024;
 
@@ -130,9 +133,12 @@
         if !(1..=MOST_PLAYS).contains(&arguments.plays) {
             return Err(format!("--plays must be between 1 and {MOST_PLAYS}"));
         }
-        between("--requests-per-s", arguments.requests_per_s, MOST_RATE)?;
-        between("--changes-per-s", arguments.changes_per_s, MOST_RATE)?;
-        between("--seconds", arguments.seconds, LONGEST)?;
+        between("--requests-per-s", arguments.requests_per_s, RATES)?;
+        between("--changes-per-s", arguments.changes_per_s, RATES)?;
+        between("--seconds", arguments.seconds, PHASES)?;
+        if arguments.changes_per_s * arguments.seconds > MOST_CHANGES {
+            return Err(format!("--changes-per-s over --seconds: at most {MOST_CHANGES} changes in all"));
+        }
         let machine = usage::machine_kib().map_err(|e| e.to_string())?;
         if arguments.dispatchers as u64 * LEAST_KIB > machine / 2 {
             let (many, half) = (arguments.dispatchers, machine / 2048);
@@ -160,9 +166,10 @@
     }
 }
 
-/// Refuses what is not above 0 or above the most; what is no number, too.
-fn between(name: &str, value: f64, most: f64) -> Result<(), String> {
-    if value > 0.0 && value <= most { Ok(()) } else { Err(format!("{name} must be above 0, at most {most}")) }
+/// Refuses what is out of bounds, and what is no number.
+fn between(name: &str, value: f64, bounds: RangeInclusive<f64>) -> Result<(), String> {
+    let (least, most) = (bounds.start(), bounds.end());
+    if bounds.contains(&value) { Ok(()) } else { Err(format!("{name} must be between {least} and {most}")) }
 }
 
 /// A file that cannot be written is found before the trials, not after them.
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -236,6 +236,8 @@
 #[case(&["--requests-per-s", "0"], "--requests-per-s must be")]
 #[case(&["--plays", "0"], "--plays must be")]
 #[case(&["--changes-per-s", "NaN"], "--changes-per-s must be")]
+#[case(&["--changes-per-s", "1000", "--seconds", "11"], "at most 10000 changes")]
+#[case(&["--seconds", "0"], "--seconds must be")]
 #[case(&["--seconds", "1000"], "--seconds must be")]
 #[case(&["--seconds", "soon"], "--seconds")]
 #[case(&["--program", "/nowhere/roselock"], "is no program")]
