Rig scale: no verdict on a law where plays differ by more than the residual

Two plays of three sizes called a change's processor time not linear for a residual of 11.1%, while the two plays of one size differed by 26.2%. Such a law is "not told" now. The verdict is a type of the report, so that table, JSON and chart say the same.

--- a/crates/rig/src/scale/plan.rs
+++ b/crates/rig/src/scale/plan.rs
@@ -93,7 +93,7 @@
 }
 
 /// What is to be measured.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Plan {
     /// Numbers of workers.
     pub sizes: Vec<usize>,
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -68,6 +68,41 @@
     }
 }
 
+/// Whether the values of a figure follow its line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// All are near it.
+    Linear,
+    /// One is not.
+    NotLinear,
+    /// One is not, and plays of one size differ by more than that.
+    Noise,
+    /// There are too few sizes to tell.
+    TwoSizes,
+}
+
+impl Verdict {
+    fn of(line: &Line, spread: f64) -> Verdict {
+        match (line.checked, line.is_linear()) {
+            (false, _) => Verdict::TwoSizes,
+            (true, true) => Verdict::Linear,
+            (true, false) if spread >= line.largest_residual => Verdict::Noise,
+            (true, false) => Verdict::NotLinear,
+        }
+    }
+
+    /// In words.
+    pub fn words(self) -> &'static str {
+        match self {
+            Verdict::Linear => "yes",
+            Verdict::NotLinear => "NO",
+            Verdict::Noise => "not told: plays differ by more",
+            Verdict::TwoSizes => "two sizes cannot tell",
+        }
+    }
+}
+
 /// How a figure grows with the workers.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Law {
@@ -75,8 +110,8 @@
     pub figure: Figure,
     /// The line through its values.
     pub line: Line,
-    /// Whether all values are near the line.
-    pub linear: bool,
+    /// Whether they follow it.
+    pub verdict: Verdict,
     /// The most by which plays of one size differ, as a share of the mean of the values.
     pub spread: f64,
 }
@@ -97,7 +132,8 @@
     pub fn new(plan: &Plan, rows: Vec<Row>) -> Report {
         let law = |figure: Figure| {
             let line = fit(&points(&rows, figure))?;
-            Some(Law { figure, line, linear: line.is_linear(), spread: spread(&rows, figure) })
+            let spread = spread(&rows, figure);
+            Some(Law { figure, line, verdict: Verdict::of(&line, spread), spread })
         };
         let laws = Figure::ALL.into_iter().filter_map(law).collect();
         Report { plan: plan.clone(), rows, laws }
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -6,9 +6,10 @@
 use roselock_rig::scale::fit::{Point, fit};
 use roselock_rig::scale::hollow::{HollowWorkers, uid};
 use roselock_rig::scale::load::RequestCount;
-use roselock_rig::scale::plan::Sizes;
+use roselock_rig::scale::plan::{Plan, Sizes};
 use roselock_rig::scale::registry::Registry;
-use roselock_rig::scale::report::{Outcome, Row};
+use roselock_rig::scale::report::{Outcome, Report, Row};
+use roselock_rig::scale::table;
 use roselock_rig::scale::usage::Usage;
 use roselock_rig::{Clock, net};
 use rstest::rstest;
@@ -270,3 +271,24 @@
     assert!(usage.resident_kib > 0 && usage.resident_peak_kib >= usage.resident_kib, "{usage:?}");
     assert!(Usage::of(u32::MAX).is_err());
 }
+
+/// Guards against a verdict on what is noise: a residual that is less than plays of one size differ by tells nothing.
+#[rstest]
+#[case::line([100.0, 200.0, 300.0], 0.0, "| yes |")]
+#[case::bent([100.0, 200.0, 900.0], 0.0, "| NO |")]
+#[case::noise([100.0, 200.0, 900.0], 400.0, "| not told: plays differ by more |")]
+fn the_table_says_whether_a_law_is_linear(
+    #[case] values: [f64; 3],
+    #[case] differ: f64,
+    #[case] verdict: &str,
+) {
+    let row = |(number, value): (usize, f64)| {
+        let figure = Figure::ChangeProcessor;
+        let figures = vec![Measured { figure, value, least: value - differ, most: value + differ }];
+        let outcome = Outcome::Measured { figures, requests: RequestCount::default(), faults: Vec::new() };
+        Row { workers: 100 * (number + 1), list_bytes: 0, outcome }
+    };
+    let rows = values.into_iter().enumerate().map(row).collect();
+    let text = table::text(&Report::new(&Plan::default(), rows));
+    assert!(text.contains(verdict), "{text}");
+}
