Rig scale: the phase at rest is whole spans of the watch's empty lines

The list service writes an empty line every 2 s, and phases of 1, 2 and 3 s gave 6, 3 and 4 bytes a second for the same service. The phase at rest is rounded up to a multiple of 2 s.

--- a/crates/rig/src/scale/plan.rs
+++ b/crates/rig/src/scale/plan.rs
@@ -42,7 +42,7 @@
     /// changes of the list a second (default: 10)
     #[argh(option, default = "10.0")]
     changes_per_s: f64,
-    /// length of each of the three phases that are measured, at rest, with changes and with requests (default: 4)
+    /// length of each of the three phases that are measured, at rest (rounded up to 2 s), with changes and with requests (default: 4)
     #[argh(option, default = "4.0")]
     seconds: f64,
     /// for everything that is drawn (default: 1)
--- a/crates/rig/src/scale/registry.rs
+++ b/crates/rig/src/scale/registry.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 /// An empty line goes out after so long without a change.
-const KEEP_ALIVE: Micros = 2 * SECOND;
+pub const KEEP_ALIVE: Micros = 2 * SECOND;
 /// How often a watch looks whether the service has ended.
 const LOOK: Duration = Duration::from_millis(200);
 
--- a/crates/rig/src/scale/trial.rs
+++ b/crates/rig/src/scale/trial.rs
@@ -5,6 +5,7 @@
 use crate::scale::load;
 use crate::scale::party::{Parties, Sample};
 use crate::scale::plan::Plan;
+use crate::scale::registry::KEEP_ALIVE;
 use crate::scale::report::{Outcome, Row};
 use crate::scale::start::{Failure, confirmed, moves, restart};
 use crate::time::{Micros, SECOND};
@@ -122,11 +123,13 @@
     ]
 }
 
-/// The list is watched, and nothing else happens.
+/// The list is watched, and nothing else happens. Whole spans between the lines that keep the watch alive: part of one
+/// would count a line too many or too few.
 fn at_rest(plan: &Plan, parties: &mut Parties) -> Result<Interval, String> {
     parties.pass(SETTLE)?;
     let from = parties.sample()?;
-    parties.pass(plan.phase)?;
+    let spans = (plan.phase + KEEP_ALIVE - 1) / KEEP_ALIVE;
+    parties.pass(spans * KEEP_ALIVE)?;
     Ok(Interval { from, to: parties.sample()? })
 }
 
