--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -2,16 +2,16 @@
 //! counts from when it was meant to come.
 
 use crate::http::Connection;
+use crate::job_id::job_id;
 use crate::ledger::{End, Seen};
-use crate::run::World;
-use crate::{Micros, SECOND};
+use crate::scenario::PATIENCE;
+use crate::time::{Micros, SECOND};
+use crate::world::World;
 use oorandom::Rand64;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// The clients' whole patience: what may run twice, what may not.
-pub const PATIENCE: [Micros; 2] = [5 * SECOND, 10 * SECOND];
 /// Least that must be left for another try.
 const LEAST: Micros = SECOND / 10;
 /// Between tries of who does not heed `Retry-After`, or is not told one.
@@ -77,7 +77,7 @@
 
 /// One try: how it ended, and when to come back.
 fn one(world: &World, dispatcher: usize, pays: bool, deadline: Micros) -> (End, Option<f64>) {
-    let id = format!("d{dispatcher}-{:x}", world.ids.fetch_add(1, Ordering::SeqCst));
+    let id = job_id(dispatcher, world.ids.fetch_add(1, Ordering::SeqCst) as u64);
     // Before its first byte: what a worker sees of it comes later.
     world.note(Seen::Asked(id.clone(), !pays, deadline));
     let (end, back) = exchange(world, dispatcher, &id, ["look", "pay"][pays as usize], deadline);
--- a/dispatcher/tests/discovery.rs
+++ b/dispatcher/tests/discovery.rs
@@ -204,7 +204,11 @@
     watch.write(&(STREAM.to_owned() + &chunk(&(list(9, false, &[]) + "\n"))));
     let (mut whole, call) = moved.request();
     assert_eq!(call.start, "GET /registry/instances HTTP/1.1");
-    let hosts = list(9, true, &[second.line("ready")]);
+    // As long as that of thousands of hosts: lists were bounded by 64 KiB.
+    let mut lines = vec![second.line("ready")];
+    lines.extend((0..3000).map(|i| target(&format!("gone-{i}"), address(&before), "draining", 0)));
+    let hosts = list(9, true, &lines);
+    assert!(hosts.len() > 300_000);
     whole.write(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{hosts}", hosts.len()));
     assert_eq!(whole.read().expect("a call").start, WATCH.replace('7', "9"));
     let _client = dispatcher.ask("c1", "look", 10.0);
