--- /dev/null
+++ b/crates/capacity/src/chart.rs
@@ -0,0 +1,48 @@
+//! The chart of a figure by size with its fitted line, as SVG.
+
+use crate::error::CapacityError;
+use crate::report::{Report, Series};
+use plotters::prelude::*;
+
+/// Its size in pixels.
+const SIZE: (u32, u32) = (760, 400);
+/// Room beyond the largest size and the highest value.
+const ROOM: f64 = 1.1;
+const MEASURED: RGBColor = RGBColor(20, 90, 160);
+const FITTED: RGBColor = RGBColor(190, 60, 20);
+
+/// The chart of one figure.
+pub fn svg(report: &Report, series: &Series) -> Result<String, CapacityError> {
+    let mut text = String::new();
+    draw(report, series, &mut text).map_err(|error| CapacityError::Chart(error.to_string()))?;
+    Ok(text)
+}
+
+fn draw(report: &Report, series: &Series, text: &mut String) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::with_string(text, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let largest = series.points.iter().map(|p| f64::from(p.size)).fold(1.0, f64::max) * ROOM;
+    let highest = series.points.iter().map(|p| p.most()).fold(f64::MIN_POSITIVE, f64::max) * ROOM;
+    let title = format!("{}: {}, {}", report.experiment, series.name, series.unit);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(35)
+        .y_label_area_size(70)
+        .build_cartesian_2d(0.0..largest, 0.0..highest)?;
+    chart.configure_mesh().x_desc(report.size_is).y_desc(series.unit).draw()?;
+    let medians = series.points.iter().map(|p| (f64::from(p.size), p.median()));
+    chart.draw_series(LineSeries::new(medians, MEASURED.stroke_width(2)))?;
+    for point in &series.points {
+        let size = f64::from(point.size);
+        let spread = vec![(size, point.least()), (size, point.most())];
+        chart.draw_series([PathElement::new(spread, MEASURED.stroke_width(1))])?;
+        chart.draw_series([Circle::new((size, point.median()), 3, MEASURED.filled())])?;
+    }
+    if let Some(law) = &series.law {
+        let line = [(0.0, law.at(0.0)), (largest, law.at(largest))];
+        chart.draw_series(LineSeries::new(line, FITTED.stroke_width(1)))?;
+    }
+    area.present()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/capacity/src/experiment/members.rs
@@ -0,0 +1,128 @@
+//! Members of `crates/peers`: what each sends by the number of members, and what a change and a fetch cost by the number
+//! of workers.
+
+use super::{Experiment, MOST_WORKERS, WORKERS};
+use crate::error::CapacityError;
+use crate::figure::Figure;
+use crate::members::{Members, Traffic};
+use crate::meter::measure;
+use crate::site::TARGET_WORKERS;
+use crate::{Micros, SECOND};
+
+/// Members where workers are counted.
+const GROUP: u32 = 24;
+/// By when all must know all; what is steady is measured from then on. By then the guess of lost packets with which
+/// members start, and for which they send each probe up to three times, has worn off.
+const JOINED: Micros = 10 * SECOND;
+const STEADY: Micros = 3 * SECOND;
+/// How long a change is followed.
+const FOLLOWED: Micros = SECOND;
+
+/// By the number of members.
+pub const EXPERIMENT: Experiment = Experiment {
+    name: "members",
+    about: "crates/peers: packets and bytes of a member, a change of one worker, 2,900 workers",
+    size_is: "members",
+    sizes: &[25, 50, 100, 200, 300],
+    most: 2_000,
+    play: play_members,
+};
+
+/// By the number of workers.
+pub const JOIN: Experiment = Experiment {
+    name: "members-list",
+    about: "crates/peers: a change of one worker and the fetch of a member that joins, 24 members",
+    size_is: "workers",
+    sizes: WORKERS,
+    most: MOST_WORKERS,
+    play: play_list,
+};
+
+/// What was sent between two moments.
+fn between(before: Traffic, after: Traffic) -> Traffic {
+    Traffic {
+        packets: after.packets - before.packets,
+        bytes: after.bytes - before.bytes,
+        frame_bytes: after.frame_bytes - before.frame_bytes,
+        ..after
+    }
+}
+
+fn joined(count: u32, workers: u32, seed: u64) -> Result<Members, CapacityError> {
+    let mut members = Members::new(count, workers, seed);
+    members.start_all();
+    while members.listed_after().is_none() || !members.all_know_all() {
+        if members.now() > JOINED {
+            return Err(CapacityError::NotReached { state: "members that all know all", by: members.now() });
+        }
+        members.run_until(members.now() + SECOND / 4);
+    }
+    members.run_until(members.now().max(JOINED));
+    Ok(members)
+}
+
+fn seconds(span: Micros) -> f64 {
+    span as f64 / SECOND as f64
+}
+
+fn told(members: &Members) -> Result<Vec<Micros>, CapacityError> {
+    let state = "members that all know of a change";
+    members.told_after().ok_or(CapacityError::NotReached { state, by: members.now() })
+}
+
+fn play_members(size: u32, seed: u64) -> Result<Vec<Figure>, CapacityError> {
+    let mut members = joined(size, TARGET_WORKERS, seed)?;
+    let start = members.traffic();
+    let listed = members.listed_after().unwrap_or_default();
+    let before = members.traffic();
+    let until = members.now() + STEADY;
+    let ((), spent) = measure(|| members.run_until(until))?;
+    let steady = between(before, members.traffic());
+    members.change(0);
+    let before = members.traffic();
+    members.run_until(members.now() + FOLLOWED);
+    let changed = between(before, members.traffic());
+    let told = told(&members)?;
+    let each = |amount: u64, span: Micros| amount as f64 / f64::from(size) / seconds(span);
+    let quiet = each(steady.bytes, STEADY) * seconds(FOLLOWED);
+    let at = |share: f64| told[((told.len() - 1) as f64 * share) as usize] as f64 / 1_000.0;
+    let last_list = listed.last().copied().unwrap_or(0);
+    Ok(vec![
+        Figure::counted("packets of a member", "packets/s", each(steady.packets, STEADY)),
+        Figure::counted("bytes of a member", "bytes/s", each(steady.bytes, STEADY)),
+        Figure::timed(
+            "processor of a member",
+            "us/s",
+            spent.processor_us() / f64::from(size) / seconds(STEADY),
+        ),
+        Figure::counted("bytes of a change, a member", "bytes", each(changed.bytes, FOLLOWED) - quiet),
+        Figure::counted("change told p50", "ms", at(0.5)),
+        Figure::counted("change told p99", "ms", at(0.99)),
+        Figure::counted("change told last", "ms", at(1.0)),
+        Figure::counted("exchange of all members", "bytes", start.largest_exchange as f64),
+        Figure::counted("start: bytes of fetches, a member", "bytes", each(start.frame_bytes, SECOND)),
+        Figure::counted("start: last list", "s", seconds(last_list)),
+    ])
+}
+
+fn play_list(size: u32, seed: u64) -> Result<Vec<Figure>, CapacityError> {
+    let mut members = joined(GROUP, size, seed)?;
+    let before = members.traffic();
+    members.run_until(members.now() + STEADY);
+    let steady = between(before, members.traffic());
+    members.change(0);
+    let before = members.traffic();
+    members.run_until(members.now() + FOLLOWED);
+    let changed = between(before, members.traffic());
+    told(&members)?;
+    let before = members.traffic();
+    members.start();
+    members.run_until(members.now() + STEADY);
+    let fetched = between(before, members.traffic());
+    let each = |bytes: u64| bytes as f64 / f64::from(GROUP);
+    let quiet = each(steady.bytes) / seconds(STEADY) * seconds(FOLLOWED);
+    Ok(vec![
+        Figure::counted("bytes of a change, a member", "bytes", each(changed.bytes) - quiet),
+        Figure::counted("bytes sent to a member that joins", "bytes", fetched.frame_bytes as f64),
+    ])
+}
--- /dev/null
+++ b/crates/capacity/tests/command.rs
@@ -0,0 +1,91 @@
+//! The command: what it refuses, what it prints, and its files.
+
+use roselock_capacity::error::CapacityError;
+use roselock_capacity::experiment::find;
+use roselock_capacity::run::{Plan, run};
+use rstest::rstest;
+use std::process::{Command, Output};
+
+fn command(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_roselock-capacity"));
+    command.args(arguments).output().expect("the command runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[rstest]
+#[case(&[], "experiment")]
+#[case(&["nothing"], "\"nothing\" is no experiment")]
+#[case(&["list-bytes", "--sizes", "10,20,30"], "at least 4")]
+#[case(&["list-bytes", "--sizes", "10,10,20,30"], "at least 4")]
+#[case(&["list-bytes", "--sizes", "10,20,30,many"], "\"many\" is not a whole number")]
+#[case(&["list-bytes", "--sizes", "10,20,30,-40"], "\"-40\" is not a whole number")]
+#[case(&["list-bytes", "--sizes", "0,20,30,40"], "--sizes: 0 is not between 1 and 20000")]
+#[case(&["list-bytes", "--sizes", "10,20,30,20001"], "--sizes: 20001 is not between")]
+#[case(&["list-bytes", "--plays", "0"], "--plays: 0 is not between")]
+#[case(&["list-bytes", "--plays", "21"], "--plays: 21 is not between")]
+#[case(&["list-bytes", "--seed", "x"], "seed")]
+#[case(&["list-bytes", "--most-seconds", "0"], "--most-seconds: 0 is not between")]
+#[case(&["list-bytes", "--unknown"], "--unknown")]
+#[case(&["list-bytes", "--json", "/proc/none"], "/proc/none")]
+fn bad_arguments_are_refused_with_status_2(#[case] arguments: &[&str], #[case] why: &str) {
+    let done = command(arguments);
+    assert_eq!(done.status.code(), Some(2), "{}", text(&done.stdout));
+    assert!(text(&done.stderr).contains(why), "{}", text(&done.stderr));
+}
+
+#[rstest]
+fn a_run_prints_its_seed_and_takes_it_back() {
+    let arguments = ["cold-start", "--sizes", "10,20,30,700", "--plays", "1", "--seed", "42"];
+    let (first, second) = (command(&arguments), command(&arguments));
+    assert!(first.status.success(), "{}", text(&first.stderr));
+    assert!(text(&first.stdout).contains("seeds 42 to 42"), "{}", text(&first.stdout));
+    assert_eq!(first.stdout, second.stdout);
+}
+
+#[rstest]
+fn figures_and_charts_are_written() {
+    let folder = std::env::temp_dir().join(format!("roselock-capacity-{}", std::process::id()));
+    let path = folder.to_str().expect("a path in UTF-8");
+    let done = command(&["list-bytes", "--plays", "1", "--json", path, "--charts", path]);
+    let read = |name: &str| std::fs::read_to_string(folder.join(name));
+    let (json, chart) = (read("list-bytes.json"), read("list-bytes-whole-list.svg"));
+    std::fs::remove_dir_all(&folder).expect("the folder was made");
+    assert!(done.status.success(), "{}", text(&done.stderr));
+    let figures: serde_json::Value = serde_json::from_str(&json.expect("figures")).expect("JSON");
+    assert_eq!(figures["series"][0]["points"][4]["size"], 2_900);
+    assert!(figures["series"][0]["law"]["slope"].as_f64().is_some_and(|slope| slope > 100.0), "{figures}");
+    assert!(chart.expect("a chart").contains("<svg"));
+}
+
+#[rstest]
+fn every_experiment_is_named_once() {
+    let done = command(&["list"]);
+    let names: Vec<String> =
+        text(&done.stdout).lines().filter_map(|l| l.split(' ').next().map(str::to_owned)).collect();
+    let once: std::collections::BTreeSet<&String> = names.iter().collect();
+    assert!(names.len() > 8 && once.len() == names.len(), "{names:?}");
+    assert!(names.iter().all(|name| find(name).is_some()));
+}
+
+/// Guards against a run without end: what is left is not played.
+#[rstest]
+fn a_run_ends_in_time() {
+    let slow = roselock_capacity::experiment::Experiment {
+        name: "slow",
+        about: "sleeps",
+        size_is: "sizes",
+        sizes: &[1, 2, 3, 4],
+        most: 4,
+        play: |size, _| {
+            let wait = if size == 2 { 1_100 } else { 0 };
+            std::thread::sleep(std::time::Duration::from_millis(wait));
+            Ok(Vec::new())
+        },
+    };
+    let plan = Plan { sizes: Vec::new(), plays: 1, seed: 1, most_seconds: 1 };
+    let ended = run(&slow, &plan);
+    assert!(matches!(ended, Err(CapacityError::OutOfTime { seconds: 1, size: 3 })), "{ended:?}");
+}
