roselock-capacity: urgent tasks, changes of many lines, cuts between regions; workers with a queue

Change: hollow workers run as many tasks as they have accelerators, queue six for each and turn further ones away; their reports still have the task that ended.

--- /dev/null
+++ b/crates/capacity/src/experiment/batch.rs
@@ -0,0 +1,39 @@
+//! A change of many lines at once, as when a rack, a zone or a region goes, at the target's number of workers.
+
+use super::Experiment;
+use crate::SECOND;
+use crate::error::CapacityError;
+use crate::figure::Figure;
+use crate::hollow::Hollow;
+use crate::listing;
+use crate::site::{Site, TARGET_WORKERS};
+use roselock::Listed;
+
+/// The lines go and come back so often.
+const TIMES: u32 = 10;
+
+/// The experiment.
+pub const EXPERIMENT: Experiment = Experiment {
+    name: "batch",
+    about: "decision module and bytes: lines that change at once, 2,900 workers",
+    size_is: "lines changed at once",
+    sizes: &[1, 40, 145, 290, 967, 2_900],
+    most: TARGET_WORKERS,
+    play,
+};
+
+fn play(size: u32, seed: u64) -> Result<Vec<Figure>, CapacityError> {
+    let site = Site::target(TARGET_WORKERS);
+    let mut hollow = Hollow::listed(site, seed)?;
+    let mut processor = 0.0;
+    for time in 0..TIMES {
+        hollow.pass(SECOND)?;
+        let state = if time % 2 == 0 { Listed::Draining } else { Listed::Ready };
+        processor += hollow.give(&[site.changes(0..size, state)])?.processor_us();
+    }
+    let bytes = listing::json_list(false, 0..size).len();
+    Ok(vec![
+        Figure::timed("change", "us", processor / f64::from(TIMES)),
+        Figure::counted("change as JSON", "bytes", bytes as f64),
+    ])
+}
--- a/crates/capacity/src/experiment/cold.rs
+++ b/crates/capacity/src/experiment/cold.rs
@@ -50,7 +50,7 @@
     hollow.give(&[])?;
     hollow.give(&[site.whole_list(hollow.now())])?;
     let before = hollow.counts();
-    hollow.set_load(Load { per_second, run: RUN });
+    hollow.set_load(Load::plain(per_second, RUN));
     hollow.pass(SPAN * SECOND)?;
     let after = hollow.counts();
     let spent = after.spent.processor - before.spent.processor;
--- a/crates/capacity/src/experiment/mod.rs
+++ b/crates/capacity/src/experiment/mod.rs
@@ -1,13 +1,16 @@
 //! The experiments: what grows, by what.
 
 mod accelerators;
+mod batch;
 mod calls;
 mod cold;
+mod cut;
 mod list;
 mod members;
 mod rate;
 mod running;
 mod teams;
+mod urgent;
 mod workers;
 
 use crate::error::CapacityError;
@@ -43,11 +46,14 @@
     rate::EXPERIMENT,
     running::EXPERIMENT,
     teams::EXPERIMENT,
+    urgent::EXPERIMENT,
     list::EXPERIMENT,
+    batch::EXPERIMENT,
     calls::COLD_START,
     calls::RETURN,
     members::EXPERIMENT,
     members::JOIN,
+    cut::EXPERIMENT,
 ];
 
 /// An experiment by its name.
--- a/crates/capacity/src/experiment/rate.rs
+++ b/crates/capacity/src/experiment/rate.rs
@@ -23,7 +23,7 @@
 
 fn play(size: u32, seed: u64) -> Result<Vec<Figure>, CapacityError> {
     let mut hollow = Hollow::listed(Site::target(TARGET_WORKERS), seed)?;
-    hollow.set_load(Load { per_second: f64::from(size), run: RUN });
+    hollow.set_load(Load::plain(f64::from(size), RUN));
     hollow.pass(BEGINNING * SECOND)?;
     let before = hollow.counts();
     hollow.pass(SPAN * SECOND)?;
--- a/crates/capacity/src/experiment/running.rs
+++ b/crates/capacity/src/experiment/running.rs
@@ -29,7 +29,7 @@
     let mut hollow = Hollow::listed(site, seed)?;
     let empty = hollow.counts().spent.bytes_kept;
     // A little more than the size, as arrivals are drawn; the load ends when as many are out.
-    hollow.set_load(Load { per_second: f64::from(size) / ARRIVAL as f64, run: RUN });
+    hollow.set_load(Load::plain(f64::from(size) / ARRIVAL as f64, RUN));
     let patience = 4 * ARRIVAL;
     for _ in 0..patience * 10 {
         hollow.pass(SECOND / 10)?;
--- a/crates/capacity/src/experiment/teams.rs
+++ b/crates/capacity/src/experiment/teams.rs
@@ -9,7 +9,7 @@
 use crate::meter::measure;
 use crate::site::{Site, TARGET_WORKERS};
 
-const LOAD: Load = Load { per_second: 1.0, run: 30 * SECOND };
+const LOAD: Load = Load::plain(1.0, 30 * SECOND);
 const SPAN: i64 = 60;
 /// New settings that are measured.
 const SETTINGS: u32 = 20;
--- a/crates/capacity/src/experiment/workers.rs
+++ b/crates/capacity/src/experiment/workers.rs
@@ -13,7 +13,7 @@
 const CHANGES: u32 = 100;
 const WHOLE_LISTS: u32 = 10;
 /// Requests a second, their run, and how long they are measured after as long a beginning.
-const LOAD: Load = Load { per_second: 1.0, run: 30 * SECOND };
+const LOAD: Load = Load::plain(1.0, 30 * SECOND);
 const SPAN: i64 = 60;
 
 /// The experiment.
--- a/crates/capacity/src/hollow.rs
+++ b/crates/capacity/src/hollow.rs
@@ -7,10 +7,12 @@
 use oorandom::Rand64;
 use roselock::{Action, Dispatcher, Event, Gauge, JobId, Note, Outcome, WorkerId};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 /// A word takes so long between a dispatcher and a worker or the list service.
 const WAY: Micros = SECOND / 1000;
+/// Tasks that wait at a worker at most, for each of its accelerators.
+const QUEUE: usize = 6;
 /// Between two words of a worker about a task that runs.
 const PROGRESS: Micros = SECOND;
 
@@ -21,6 +23,15 @@
     pub per_second: f64,
     /// How long each task runs.
     pub run: Micros,
+    /// Share of the requests that are urgent, at a site that knows such.
+    pub urgent: f64,
+}
+
+impl Load {
+    /// One without urgent requests.
+    pub const fn plain(per_second: f64, run: Micros) -> Load {
+        Load { per_second, run, urgent: 0.0 }
+    }
 }
 
 /// What a hollow dispatcher has done.
@@ -53,16 +64,40 @@
     Alarm(u64),
     Listed,
     Request,
-    Started(u32, u32),
-    Progress(u32, u32),
-    Ended(u32, u32),
-    Cancelled(u32, u32),
+    /// Comes to its worker.
+    Arrived(Id),
+    Started(Id),
+    Progress(Id),
+    Ended(Id),
+    Cancelled(Id),
+}
+
+/// A request's attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Id {
+    job: u32,
+    round: u32,
 }
 
 /// An attempt that is out.
 struct Attempt {
     worker: WorkerId,
-    ends: Micros,
+    running: bool,
+}
+
+/// A request that was not answered yet.
+struct Request {
+    arrived: Micros,
+    urgent: bool,
+    started: bool,
+    rounds: u32,
+}
+
+/// A worker that one dispatcher has to itself.
+#[derive(Default)]
+struct Worker {
+    running: u32,
+    waiting: VecDeque<Id>,
 }
 
 /// The module, its clock and what surrounds it.
@@ -77,9 +112,10 @@
     random: Rand64,
     load: Option<Load>,
     next_job: u32,
-    rounds: BTreeMap<u32, u32>,
-    out: BTreeMap<(u32, u32), Attempt>,
-    running: BTreeMap<WorkerId, u32>,
+    requests: BTreeMap<u32, Request>,
+    out: BTreeMap<Id, Attempt>,
+    workers: BTreeMap<WorkerId, Worker>,
+    urgent_waits: Vec<Option<Micros>>,
     counts: Counts,
 }
 
@@ -99,9 +135,10 @@
             random: Rand64::new(u128::from(seed)),
             load: None,
             next_job: 0,
-            rounds: BTreeMap::new(),
+            requests: BTreeMap::new(),
             out: BTreeMap::new(),
-            running: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            urgent_waits: Vec::new(),
             counts: Counts::default(),
         })
     }
@@ -132,6 +169,11 @@
         self.out.len()
     }
 
+    /// How long urgent requests waited for their first start; none: turned away before.
+    pub fn urgent_waits(&self) -> &[Option<Micros>] {
+        &self.urgent_waits
+    }
+
     /// The module.
     pub fn dispatcher(&mut self) -> &mut Dispatcher {
         &mut self.dispatcher
@@ -201,13 +243,11 @@
             Due::Alarm(token) => Some(Event::Alarm(token)),
             Due::Listed => Some(self.site.whole_list(self.now)),
             Due::Request => self.request(),
-            Due::Started(job, round) => self.started(job, round),
-            Due::Progress(job, round) => self.progress(job, round),
-            Due::Ended(job, round) => {
-                self.counts.served += 1;
-                self.end(job, round, Outcome::Ok)
-            }
-            Due::Cancelled(job, round) => self.end(job, round, Outcome::Cancelled),
+            Due::Arrived(id) => self.arrived(id),
+            Due::Started(id) => self.started(id),
+            Due::Progress(id) => self.progress(id),
+            Due::Ended(id) => self.end(id, Outcome::Ok),
+            Due::Cancelled(id) => self.end(id, Outcome::Cancelled),
         }
     }
 
@@ -218,34 +258,69 @@
         self.next_job += 1;
         self.counts.requests += 1;
         let draw = self.random.rand_range(0..u64::from(u32::MAX)) as u32;
-        Some(Event::Job(self.site.job(self.next_job, draw)))
+        let urgent = load.urgent > 0.0 && self.random.rand_float() < load.urgent;
+        let request = Request { arrived: self.now, urgent, started: false, rounds: 0 };
+        self.requests.insert(self.next_job, request);
+        Some(Event::Job(self.site.job(self.next_job, draw, urgent)))
     }
 
-    fn started(&mut self, job: u32, round: u32) -> Option<Event> {
-        let attempt = self.out.get(&(job, round))?;
-        let ends = attempt.ends;
-        self.put(ends, Due::Ended(job, round));
-        self.put(self.now + PROGRESS, Due::Progress(job, round));
-        Some(Event::Notice { job: JobId(job), round, note: Note::Started })
+    /// It starts at once, waits, or is turned away.
+    fn arrived(&mut self, id: Id) -> Option<Event> {
+        let worker = self.workers.entry(self.out.get(&id)?.worker).or_default();
+        if worker.running < self.site.accelerators {
+            worker.running += 1;
+            return self.started(id);
+        }
+        if worker.waiting.len() >= QUEUE * self.site.accelerators as usize {
+            return self.end(id, Outcome::Full);
+        }
+        worker.waiting.push_back(id);
+        None
     }
 
-    fn progress(&mut self, job: u32, round: u32) -> Option<Event> {
-        self.out.get(&(job, round)).filter(|attempt| attempt.ends > self.now)?;
-        self.put(self.now + PROGRESS, Due::Progress(job, round));
-        Some(Event::Notice { job: JobId(job), round, note: Note::Progress(0.5) })
+    fn started(&mut self, id: Id) -> Option<Event> {
+        let attempt = self.out.get_mut(&id)?;
+        attempt.running = true;
+        let run = self.load.map_or(SECOND, |load| load.run);
+        self.put(self.now + run, Due::Ended(id));
+        self.put(self.now + PROGRESS, Due::Progress(id));
+        let request = self.requests.get_mut(&id.job)?;
+        if request.urgent && !request.started {
+            self.urgent_waits.push(Some(self.now - request.arrived));
+        }
+        request.started = true;
+        Some(Event::Notice { job: JobId(id.job), round: id.round, note: Note::Started })
     }
 
-    fn end(&mut self, job: u32, round: u32, outcome: Outcome) -> Option<Event> {
-        let attempt = self.out.remove(&(job, round))?;
-        let running = self.running.entry(attempt.worker).or_default();
-        *running = running.saturating_sub(1);
-        let free = self.site.accelerators.saturating_sub(*running);
-        let gauge = Gauge { free_slots: Some(f64::from(free)), delayed: true, ..Gauge::default() };
+    fn progress(&mut self, id: Id) -> Option<Event> {
+        self.out.get(&id)?;
+        self.put(self.now + PROGRESS, Due::Progress(id));
+        Some(Event::Notice { job: JobId(id.job), round: id.round, note: Note::Progress(0.5) })
+    }
+
+    /// An attempt ends, and what waits at its worker starts.
+    fn end(&mut self, id: Id, outcome: Outcome) -> Option<Event> {
+        let attempt = self.out.remove(&id)?;
+        let worker = self.workers.entry(attempt.worker).or_default();
+        // As on the platform a report is older than the word that it comes with: what ended still runs in it.
+        let free = self.site.accelerators.saturating_sub(worker.running);
+        worker.waiting.retain(|waiting| *waiting != id);
+        if attempt.running {
+            worker.running -= 1;
+        }
+        let next = if attempt.running { worker.waiting.pop_front() } else { None };
+        if let Some(next) = next {
+            worker.running += 1;
+            self.out.entry(next).and_modify(|attempt| attempt.running = true);
+            self.put(self.now, Due::Started(next));
+        }
         let last = outcome == Outcome::Ok;
         if last {
-            self.rounds.remove(&job);
+            self.counts.served += 1;
+            self.requests.remove(&id.job);
         }
-        Some(Event::Verdict { job: JobId(job), round, outcome, last, gauge })
+        let gauge = Gauge { free_slots: Some(f64::from(free)), delayed: true, ..Gauge::default() };
+        Some(Event::Verdict { job: JobId(id.job), round: id.round, outcome, last, gauge })
     }
 
     fn perform(&mut self, action: &Action) {
@@ -259,24 +334,29 @@
                 self.put(self.now + WAY, Due::Listed);
             }
             Action::Send { job, worker, .. } => self.send(job.0, *worker),
-            Action::Cancel { job, round } => self.put(self.now + 2 * WAY, Due::Cancelled(job.0, *round)),
-            Action::Refuse { job, .. } | Action::Fail { job } => {
-                self.counts.turned_away += 1;
-                self.rounds.remove(&job.0);
+            Action::Cancel { job, round } => {
+                let id = Id { job: job.0, round: *round };
+                self.put(self.now + 2 * WAY, Due::Cancelled(id));
             }
+            Action::Refuse { job, .. } | Action::Fail { job } => self.turn_away(job.0),
             Action::Probe(_) | Action::Close(_) | Action::Log { .. } => {}
         }
     }
 
+    fn turn_away(&mut self, job: u32) {
+        self.counts.turned_away += 1;
+        let request = self.requests.remove(&job);
+        if request.is_some_and(|request| request.urgent && !request.started) {
+            self.urgent_waits.push(None);
+        }
+    }
+
     fn send(&mut self, job: u32, worker: WorkerId) {
         self.counts.sends += 1;
-        let next = self.rounds.entry(job).or_default();
-        let round = *next;
-        *next += 1;
-        let starts = self.now + WAY;
-        let run = self.load.map_or(SECOND, |load| load.run);
-        self.out.insert((job, round), Attempt { worker, ends: starts + run });
-        *self.running.entry(worker).or_default() += 1;
-        self.put(starts, Due::Started(job, round));
+        let Some(request) = self.requests.get_mut(&job) else { return };
+        let id = Id { job, round: request.rounds };
+        request.rounds += 1;
+        self.out.insert(id, Attempt { worker, running: false });
+        self.put(self.now + WAY, Due::Arrived(id));
     }
 }
--- a/crates/capacity/src/site.rs
+++ b/crates/capacity/src/site.rs
@@ -27,6 +27,11 @@
 /// Classes: one whose jobs may be repeated and one whose jobs may not, with their aims.
 const SAFE_AIM: Micros = SECOND / 5;
 const UNSAFE_AIM: Micros = SECOND / 4;
+/// Urgent tasks start within this span, and are worth so many others.
+pub const URGENT_AIM: Micros = 2 * SECOND;
+const URGENT_WORTH: f64 = 4.0;
+/// The index of the class of urgent tasks.
+const URGENT: u16 = 2;
 /// A client's patience.
 pub const PATIENCE: Micros = 300 * SECOND;
 /// Least span between two steps.
@@ -47,6 +52,8 @@
     pub dispatchers: u32,
     /// All workers have just started.
     pub cold: bool,
+    /// There is a third class, whose tasks are to start within [`URGENT_AIM`].
+    pub urgent: bool,
 }
 
 impl Site {
@@ -59,13 +66,18 @@
             zones: TARGET_ZONES,
             dispatchers: TARGET_DISPATCHERS,
             cold: false,
+            urgent: false,
         }
     }
 
     /// What one dispatcher is told at its start. The figures are those of the site portal-norte.
     pub fn settings(&self) -> Settings {
-        let mut settings =
-            Settings::new(vec![class(Effect::Safe, SAFE_AIM, 1.75), class(Effect::Unsafe, UNSAFE_AIM, 2.0)]);
+        let mut classes = vec![class(Effect::Safe, SAFE_AIM, 1.75), class(Effect::Unsafe, UNSAFE_AIM, 2.0)];
+        if self.urgent {
+            let urgent = class(Effect::Safe, URGENT_AIM, 1.0);
+            classes.push(Class { worth: URGENT_WORTH, ..urgent });
+        }
+        let mut settings = Settings::new(classes);
         settings.fleet_size = self.dispatchers;
         settings.me = self.dispatchers / 2;
         settings.tenants = self.tenants();
@@ -113,15 +125,21 @@
 
     /// A change of one line.
     pub fn change(&self, worker: u32, state: Listed) -> Event {
-        Event::Fleet { mode: ListMode::Changes, entries: vec![self.entry(worker, state, 0)] }
+        self.changes(worker..worker + 1, state)
+    }
+
+    /// A change of several lines at once.
+    pub fn changes(&self, workers: std::ops::Range<u32>, state: Listed) -> Event {
+        let entries = workers.map(|worker| self.entry(worker, state, 0)).collect();
+        Event::Fleet { mode: ListMode::Changes, entries }
     }
 
-    /// A request.
-    pub fn job(&self, id: u32, draw: u32) -> JobIn {
+    /// A request that is urgent or not; what else it is follows from a number that was drawn.
+    pub fn job(&self, id: u32, draw: u32, urgent: bool) -> JobIn {
         let team = (self.teams > 0).then(|| TenantId((draw % self.teams) as u16));
         JobIn {
             job: JobId(id),
-            class: ClassId((draw % 2) as u16),
+            class: ClassId(if urgent { URGENT } else { (draw % 2) as u16 }),
             tenant: team,
             slots: 1.0,
             memory: 0.0,
