--- a/crates/capacity/tests/laws.rs
+++ b/crates/capacity/tests/laws.rs
@@ -115,6 +115,30 @@
     assert!(written.bends_at.is_none() && (25.0..60.0).contains(&written.slope), "{written:?}");
 }
 
+/// Guards against a bend that the report hides: at 1,000 dispatchers calls are turned away, at 200 none.
+#[rstest]
+fn a_cold_start_that_bends_says_where() {
+    let report = play("cold-start", &[50, 100, 200, 1_000], 1);
+    let failed = figure(&report, "failed calls");
+    assert!(values(failed)[..3] == [0.0; 3] && values(failed)[3] > 100.0, "{failed:?}");
+    assert_eq!(failed.law.expect("a law").bends_at, Some(1_000.0));
+}
+
+/// Guards against a cut that is taken for a loss before its time: until then the regions together give out one budget.
+#[rstest]
+fn regions_give_out_one_budget_while_the_cut_is_reckoned_with() {
+    let report = play("cut", &[60, 299, 301, 3_600], 1);
+    assert_eq!(values(figure(&report, "budget given out, of one")), [1.0, 1.0, 3.0, 3.0]);
+}
+
+/// Guards against a change of many lines that costs more than its lines.
+#[rstest]
+fn a_change_of_many_lines_is_linear_in_them() {
+    let report = play("batch", &[100, 200, 400, 800], 1);
+    let bytes = figure(&report, "change as JSON").law.expect("a law");
+    assert!(bytes.bends_at.is_none() && (120.0..200.0).contains(&bytes.slope), "{bytes:?}");
+}
+
 /// Guards against figures that depend on anything but the seed.
 #[rstest]
 #[case("cold-start", &[10, 20, 30, 700])]
