A request counts from its own last byte, also behind a held one

Cause: wire/front.rs took the clock when it parsed a request; what had waited behind a held request was told to its worker with as much more than its client had left as it had waited.

Ruled out: the kernel's queue as the place of the wait: while a request is held, its connection is read on, so the read is prompt.

--- a/dispatcher/src/wire/front.rs
+++ b/dispatcher/src/wire/front.rs
@@ -3,7 +3,7 @@
 use super::http::{self, Bad, Message, Reader, by};
 use super::table::{HELLO, INCOMING, Rank, Spare, Table};
 use super::{callbacks, socket::Socket};
-use crate::memory::{Answer, Downstream, FleetId, Inbox, Input, NewStream, Payload, StreamId, clock};
+use crate::memory::{Answer, Downstream, FleetId, Inbox, Input, NewStream, Payload, StreamId};
 use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc::{Receiver, Sender, channel};
 use roselock::settings::{Site, fnv};
@@ -260,7 +260,8 @@
         if filled != Ok(true) {
             return;
         }
-        let due = hello.unwrap_or_else(|| by(INCOMING));
+        let due =
+            hello.unwrap_or_else(|| reader.began().map_or_else(|| by(INCOMING), |began| began + INCOMING));
         let whole = reader.request(due).and_then(|head| {
             let bulk = Bulk::new(front, head.0.bulk()).ok_or(Bad::Status(503))?;
             Ok((reader.request_body(head, due)?, bulk))
@@ -285,8 +286,7 @@
             }
         };
         let close = message.close;
-        let came = clock::now();
-        match route(front, (message, bulk), (came, peer), (&socket, &mut writer, &mut unidentified)) {
+        match route(front, (message, bulk), peer, (&socket, &mut writer, &mut unidentified)) {
             Routed::Held(stream) => (pending, hello) = (Some(stream), None),
             Routed::Shed => return part(front, &socket, &mut reader),
             Routed::Reply(status, more, body) => {
@@ -338,7 +338,7 @@
 fn route(
     front: &Arc<Front>,
     (message, bulk): (Message, Bulk),
-    from: (Micros, SocketAddr),
+    peer: SocketAddr,
     (socket, writer, unidentified): (&Socket, &mut Option<Writer>, &mut Option<Spare>),
 ) -> Routed {
     let (method, target) = (message.text(&message.method), message.text(&message.target));
@@ -358,7 +358,7 @@
         _ => return Routed::Reply(404, "", ""),
     }
     let close = message.close;
-    let Some(new) = stream_of(front, message, from) else { return Routed::Reply(400, "", "") };
+    let Some(new) = stream_of(front, message, peer) else { return Routed::Reply(400, "", "") };
     let Some(held) = Held::new(front, bulk) else {
         front.figures.ended(new.class.0 as usize, End::Deferred, false);
         return Routed::Reply(503, after(503), "");
@@ -395,7 +395,7 @@
     named.into_iter().find(|v| v.is_finite() && *v >= 0.0)
 }
 
-fn stream_of(front: &Front, message: Message, (came, peer): (Micros, SocketAddr)) -> Option<NewStream> {
+fn stream_of(front: &Front, message: Message, peer: SocketAddr) -> Option<NewStream> {
     let id = message.header("x-call-id").filter(|id| !message.text(id).trim().is_empty())?;
     let class = front.site.classes.known(message.value("x-call-class")?)?;
     let budget: f64 = message.value("x-budget")?.parse().ok().filter(|b| (0.0..=PATIENCE).contains(b))?;
@@ -415,7 +415,7 @@
         memory: figure(info, "memory").unwrap_or(0.0),
         hint: message.value("x-call-cost").and_then(|h| h.parse().ok()),
         ran: 0,
-        deadline: came + (budget * SECOND as f64) as Micros,
+        deadline: message.arrived + (budget * SECOND as f64) as Micros,
         peer,
         downstream: Box::new(Nobody),
         payload: Arc::new(Payload {
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1: heads parsed in place in the buffer they were read into, bodies by length or in chunks.
 
+use super::arrivals::Arrivals;
 use super::socket::Socket;
 use crate::memory::clock;
 use roselock::Micros;
@@ -51,6 +52,8 @@
     pub body: Range<usize>,
     /// The connection does not outlive it.
     pub close: bool,
+    /// When its last byte was read.
+    pub arrived: Micros,
     headers: Vec<(Range<usize>, Range<usize>)>,
     chunked: bool,
     length: Option<usize>,
@@ -113,6 +116,8 @@
 pub struct Reader {
     socket: Socket,
     buffer: Vec<u8>,
+    /// When the bytes of the buffer were read.
+    arrivals: Arrivals,
     /// Reads since it last waited.
     in_a_row: u32,
     /// The longest body that it takes.
@@ -126,7 +131,7 @@
     }
     /// One that takes bodies of up to so many bytes.
     pub fn with_body_bound(socket: Socket, body_bound: usize) -> Reader {
-        Reader { socket, buffer: Vec::new(), in_a_row: 0, body_bound }
+        Reader { socket, buffer: Vec::new(), arrivals: Arrivals::default(), in_a_row: 0, body_bound }
     }
     /// What is read and not yet parsed.
     pub fn held(&self) -> &[u8] {
@@ -143,11 +148,21 @@
         }
         Ok(())
     }
+    /// When the first byte that is not yet parsed was read.
+    pub fn began(&self) -> Option<Micros> {
+        self.arrivals.first()
+    }
     /// Takes the first bytes.
-    pub fn split(&mut self, bytes: usize) -> Vec<u8> {
+    fn split(&mut self, bytes: usize) -> Vec<u8> {
+        self.arrivals.consume(bytes);
         let rest = self.buffer.split_off(bytes);
         std::mem::replace(&mut self.buffer, rest)
     }
+    /// Drops the first bytes.
+    fn advance(&mut self, bytes: usize) {
+        self.arrivals.consume(bytes);
+        self.buffer.drain(..bytes);
+    }
     /// Reads on; false at the end.
     pub fn fill(&mut self, deadline: Micros) -> Result<bool, Bad> {
         if self.in_a_row >= IN_A_ROW {
@@ -161,6 +176,7 @@
             read
         });
         self.buffer.truncate(old + read.as_ref().copied().unwrap_or(0));
+        self.arrivals.extend(self.buffer.len(), clock::now());
         match read {
             Ok(n) => Ok(n > 0),
             Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => Err(Bad::Late),
@@ -169,7 +185,7 @@
     }
     /// Reads on, and keeps nothing of it; false at the end.
     pub fn skip(&mut self, deadline: Micros) -> Result<bool, Bad> {
-        self.buffer.clear();
+        self.advance(self.buffer.len());
         self.fill(deadline)
     }
     fn more(&mut self, deadline: Micros) -> Result<(), Bad> {
@@ -205,7 +221,7 @@
         loop {
             let (mut message, at) = self.head(deadline, parse_response)?;
             if (100..200).contains(&message.status) {
-                self.buffer.drain(..at);
+                self.advance(at);
                 interim += 1;
                 if interim > INTERIM {
                     return Err(Bad::Status(502));
@@ -229,7 +245,7 @@
     /// The head of a response whose chunks are taken one by one.
     pub fn stream_head(&mut self, deadline: Micros) -> Result<Message, Bad> {
         let (message, at) = self.head(deadline, parse_response)?;
-        self.buffer.drain(..at);
+        self.advance(at);
         Ok(message)
     }
 
@@ -248,7 +264,7 @@
                         return Err(Bad::Status(400));
                     }
                     into.extend_from_slice(&self.buffer[start..start + size]);
-                    self.buffer.drain(..start + size + 2);
+                    self.advance(start + size + 2);
                     return Ok(size > 0);
                 }
                 Ok(httparse::Status::Partial) if self.buffer.len() <= CHUNK_LINE => self.more(deadline)?,
@@ -267,7 +283,7 @@
                 rest.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4)
             };
             if let Some(end) = end {
-                self.buffer.drain(..start + end);
+                self.advance(start + end);
                 return Ok(());
             }
             if rest.len() > HEAD {
@@ -305,12 +321,14 @@
                 }
             }
             (message.body, message.raw) = (at..raw.len(), raw);
+            message.arrived = self.arrivals.consumed();
             return Ok(());
         }
         let end = at + message.length.unwrap_or(0);
         self.want(end, deadline)?;
         message.raw = self.split(end);
         message.body = at..end;
+        message.arrived = self.arrivals.consumed();
         Ok(())
     }
 }
--- a/dispatcher/src/wire/mod.rs
+++ b/dispatcher/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! What is spoken on the wire.
 
 pub mod admin;
+pub mod arrivals;
 pub mod callbacks;
 pub mod discovery;
 pub mod front;
