--- a/dispatcher/src/wire/arrivals_tests.rs
+++ b/dispatcher/src/wire/arrivals_tests.rs
@@ -13,7 +13,9 @@
 #[case(10, 3)]
 fn what_leaves_keeps_its_time(#[case] bytes: usize, #[case] second: i64) {
     let mut arrivals = Arrivals::default();
-    [(4, 1), (9, 2), (20, 3)].map(|(len, at)| arrivals.extend(len, at * SECOND));
+    for (len, at) in [(4, 1), (9, 2), (20, 3)] {
+        arrivals.extend(len, at * SECOND);
+    }
     arrivals.consume(bytes);
     assert_eq!(arrivals.consumed(), second * SECOND);
     arrivals.consume(20 - bytes);
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -122,6 +122,8 @@
     in_a_row: u32,
     /// The longest body that it takes.
     body_bound: usize,
+    /// Nothing that comes is kept any more.
+    sealed: bool,
 }
 
 impl Reader {
@@ -131,7 +133,14 @@
     }
     /// One that takes bodies of up to so many bytes.
     pub fn with_body_bound(socket: Socket, body_bound: usize) -> Reader {
-        Reader { socket, buffer: Vec::new(), arrivals: Arrivals::default(), in_a_row: 0, body_bound }
+        Reader {
+            socket,
+            buffer: Vec::new(),
+            arrivals: Arrivals::default(),
+            in_a_row: 0,
+            body_bound,
+            sealed: false,
+        }
     }
     /// What is read and not yet parsed.
     pub fn held(&self) -> &[u8] {
@@ -141,6 +150,19 @@
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
     }
+    /// Keeps nothing that comes from now on; what is read and not yet parsed stays.
+    pub fn seal(&mut self) {
+        self.sealed = true;
+    }
+    /// Whether nothing that comes is kept any more.
+    pub fn is_sealed(&self) -> bool {
+        self.sealed
+    }
+    /// Drops empty lines between messages (RFC 9112, 2.2).
+    pub fn skip_blank_lines(&mut self) {
+        let blank = self.buffer.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+        self.advance(blank);
+    }
     /// Reads on until there are as many bytes.
     pub fn want(&mut self, bytes: usize, deadline: Micros) -> Result<(), Bad> {
         while self.buffer.len() < bytes {
@@ -175,7 +197,8 @@
             self.in_a_row = if waited { 0 } else { self.in_a_row + 1 };
             read
         });
-        self.buffer.truncate(old + read.as_ref().copied().unwrap_or(0));
+        let kept = if self.sealed { 0 } else { read.as_ref().copied().unwrap_or(0) };
+        self.buffer.truncate(old + kept);
         self.arrivals.extend(self.buffer.len(), clock::now());
         match read {
             Ok(n) => Ok(n > 0),
@@ -185,10 +208,14 @@
     }
     /// Reads on, and keeps nothing of it; false at the end.
     pub fn skip(&mut self, deadline: Micros) -> Result<bool, Bad> {
+        self.sealed = false;
         self.advance(self.buffer.len());
         self.fill(deadline)
     }
     fn more(&mut self, deadline: Micros) -> Result<(), Bad> {
+        if self.sealed {
+            return Err(Bad::Ended);
+        }
         let empty = self.buffer.is_empty();
         match self.fill(deadline)? {
             true => Ok(()),
