An interrupted read, peek or drain goes on

Cause: wire/socket.rs passed on that a peek was interrupted as the end of the connection (read_or_wait), and took an interrupted peek for news on a resting one (is_quiet) or for the end of what is to be read (drain).

Ruled out: the runtime: its own peek gives EINTR on as it is, and its waits are interrupted without harm (case wait).

Change: all three go on after EINTR.

--- a/dispatcher/src/wire/socket.rs
+++ b/dispatcher/src/wire/socket.rs
@@ -46,7 +46,10 @@
                     }
                     self.0.set_read_timeout(Some(left))?;
                     waited = true;
-                    self.0.peek(&mut [0])?;
+                    match self.0.peek(&mut [0]) {
+                        Err(e) if e.kind() != ErrorKind::Interrupted => return Err(e),
+                        _ => {}
+                    }
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 done => return done.map(|read| (read, waited)),
@@ -57,11 +60,12 @@
     /// connection, and what was written last might be lost with it.
     pub fn drain(&self, mut most: usize) {
         let mut bytes = [0; 4096];
-        while let Ok(n) = self.0.inner().read(&mut bytes)
-            && n > 0
-            && most > 0
-        {
-            most = most.saturating_sub(n);
+        while most > 0 {
+            match self.0.inner().read(&mut bytes) {
+                Ok(n) if n > 0 => most = most.saturating_sub(n),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                _ => return,
+            }
         }
     }
     /// Writes all parts, gathered, however few bytes a call takes.
@@ -90,7 +94,12 @@
     }
     /// Whether an idle connection is still open, with nothing come in.
     pub fn is_quiet(&self) -> bool {
-        matches!(self.0.inner().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        loop {
+            match self.0.inner().peek(&mut [0]) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                seen => return matches!(seen, Err(e) if e.kind() == ErrorKind::WouldBlock),
+            }
+        }
     }
     /// Ends both directions; whoever waits to read wakes.
     pub fn close(&self) {
