Local errors of socket, connect and bind are tried again, not held against the peer

Cause: a connect that failed for want of something here (descriptors, ports, buffers) ended the attempt as ConnectFailed: the worker came into doubt, one of four attempts was used up. The same at discovery counted as a sign that it cannot be reached, and renewed the lease on the list. A listener that could not be bound at once ended the start.

Ruled out: unreachable workers (ENETUNREACH, ETIMEDOUT, EHOSTUNREACH) stay what they were: could not connect.

A shortage of 2.5 s uses up no attempt and begins none for a client that left.

--- a/crates/startup/src/lease.rs
+++ b/crates/startup/src/lease.rs
@@ -64,6 +64,11 @@
     /// The watch, or the call for one, ended; the next call is made at `next_call`.
     pub fn watch_ended(&mut self, end: WatchEnd, next_call: Micros) {
         let Some(term) = self.term else { return };
+        if end.reason == EndReason::Local {
+            // No sign of the service: the list is as old as it was.
+            self.until = self.until.min(end.as_of + term);
+            return;
+        }
         let weight = if end.reason == EndReason::Silent { SILENT_WEIGHT } else { REFUSED_WEIGHT };
         self.wanted = self.wanted.saturating_sub(weight);
         if self.wanted > 0 {
--- a/crates/startup/src/pace.rs
+++ b/crates/startup/src/pace.rs
@@ -49,6 +49,8 @@
     Refused,
     /// No connection came up.
     Unreachable,
+    /// This machine was short of something for a connection: that says nothing of the service.
+    Local,
     /// Nothing came in time on an open connection.
     Silent,
 }
@@ -192,7 +194,8 @@
     ) -> (f64, Micros, Micros) {
         // A call that waited took its place in a queue. One that failed at once cost next to nothing: the service is
         // down or turns callers away, and is asked no less often for it once it is back.
-        let queued = reason != EndReason::Unreachable && waited >= AT_ONCE;
+        let called = !matches!(reason, EndReason::Unreachable | EndReason::Local);
+        let queued = called && waited >= AT_ONCE;
         self.waited = if queued { self.waited + 1 } else { 0 };
         if queued {
             self.call = (2 * self.call).clamp(LEAST, MOST);
--- a/crates/startup/tests/lease.rs
+++ b/crates/startup/tests/lease.rs
@@ -22,6 +22,7 @@
 #[case::nothing(&[], false)]
 #[case::refused(&[EndReason::Refused], true)]
 #[case::unreachable(&[EndReason::Unreachable], true)]
+#[case::local(&[EndReason::Local, EndReason::Local, EndReason::Local], false)]
 #[case::silent(&[EndReason::Silent], false)]
 #[case::silent_twice(&[EndReason::Silent, EndReason::Silent], true)]
 fn a_list_of_before_the_start_is_held_back(#[case] ends: &[EndReason], #[case] holds: bool) {
@@ -75,6 +76,19 @@
     assert_eq!(runs_out(&lease), Some(190));
 }
 
+/// Guards against a shortage of this machine's own that is taken for a service that cannot be reached: its changes count as
+/// told all the same.
+#[rstest]
+fn a_local_failure_renews_nothing() {
+    let mut lease = ListLease::unconfirmed(CONNECT);
+    lease.renewed();
+    lease.watch_ended(end(EndReason::Refused, 10 * SECOND), 11 * SECOND);
+    for second in 11..30 {
+        lease.watch_ended(end(EndReason::Local, second * SECOND), (second + 1) * SECOND);
+    }
+    assert_eq!(runs_out(&lease), Some(160));
+}
+
 /// Guards against a send that arrives late because its connection came up late.
 #[rstest]
 #[case::quick(SECOND / 5, 60)]
--- a/dispatcher/src/lifecycle/mod.rs
+++ b/dispatcher/src/lifecycle/mod.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod handover;
 pub mod inherit;
+pub mod listen;
 pub mod log;
 pub mod problem;
 pub mod relay;
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -2,7 +2,7 @@
 
 use super::config::{self, Config};
 use super::log;
-use super::{handover, inherit, relay};
+use super::{handover, listen, relay};
 use crate::memory::core::{Core, Operation, longest};
 use crate::memory::{FleetId, Inbox, Input, clock};
 use crate::wire::admin::{self, Admin};
@@ -82,7 +82,7 @@
     core.came_up_with(fleet, known);
     may::go!(move || watch.run(&asked));
 
-    let (listener, inherited) = listen(&config)?;
+    let (listener, inherited) = listen::for_clients(&config)?;
     let listen = listener.local_addr().map_err(|e| e.to_string())?;
     let front = Arc::new(Front {
         site,
@@ -116,8 +116,7 @@
             front.make(function)?;
         }
         core.add_feed(Box::new(gearman::Queue(front.clone())));
-        let listener = may::net::TcpListener::bind(file.listen)
-            .map_err(|e| format!("cannot listen on {}: {e}", file.listen))?;
+        let listener = listen::bind(file.listen, "")?;
         let listen = listener.local_addr().map_err(|e| e.to_string())?;
         tracing::info!("{}: Gearman on {listen}", config.name);
         let (accepting, timing) = (front.clone(), front.clone());
@@ -127,8 +126,7 @@
     });
     let gearman = gearman.transpose()?;
     if let Some(at) = config.admin {
-        let listener =
-            may::net::TcpListener::bind(at).map_err(|e| format!("cannot listen on {at} (admin): {e}"))?;
+        let listener = listen::bind(at, " (admin)")?;
         let listen = listener.local_addr().map_err(|e| e.to_string())?;
         let admin = Arc::new(Admin {
             figures: operation.figures.clone(),
@@ -159,29 +157,6 @@
     Ok(())
 }
 
-/// The clients' listener: the one that the platform holds, where `$NODE_FD` names it, else bound anew; and whether
-/// it was inherited, so that others may accept on it once this process stops.
-fn listen(config: &Config) -> Result<(may::net::TcpListener, bool), String> {
-    let told = std::env::var(inherit::VARIABLE).ok().filter(|told| !told.trim().is_empty());
-    match told.as_deref().map(inherit::check) {
-        Some(Ok((fd, address))) => {
-            if address != config.listen {
-                tracing::warn!(
-                    "{}: the inherited listener is at {address}, not at {}",
-                    config.name,
-                    config.listen
-                );
-            }
-            return Ok((inherit::adopt(fd), true));
-        }
-        Some(Err(why)) => tracing::error!("{}: {why}; the listener is bound anew", config.name),
-        None => {}
-    }
-    let listener = may::net::TcpListener::bind(config.listen)
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    Ok((listener, false))
-}
-
 /// The parts that signals reach.
 struct Parts {
     inbox: Inbox,
--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::http::{Bad, Reader, by};
 use super::list::{List, Lists, hosts};
-use super::socket::Socket;
+use super::socket::{ConnectError, LocalRetry, Socket};
 use crate::memory::{FleetId, Inbox, Input, clock};
 use may::sync::mpsc::{Receiver, Sender};
 use roselock::settings::Site;
@@ -96,6 +96,8 @@
 pub struct Progress {
     /// There was a connection.
     reached: bool,
+    /// There was none, for want of something on this machine.
+    short: bool,
     /// The latest word on it.
     word: Option<Micros>,
 }
@@ -145,7 +147,7 @@
     /// One watch, or the call for it, up to its end.
     fn watch_once(&mut self, at: SocketAddr, moves: u64) -> WatchEnd {
         let began = clock::now();
-        self.progress = Progress { reached: false, word: None };
+        self.progress = Progress::default();
         let ended = self.watch(at, moves);
         self.in_vain = if self.nobody { self.in_vain.saturating_add(1) } else { 0 };
         if self.nobody {
@@ -154,6 +156,7 @@
         }
         tracing::warn!("discovery at {at}: the watch ended: {ended:?}");
         let reason = match ended {
+            _ if self.progress.short => EndReason::Local,
             _ if !self.progress.reached => EndReason::Unreachable,
             Err(Bad::Late) => EndReason::Silent,
             _ => EndReason::Refused,
@@ -163,9 +166,23 @@
         WatchEnd { reason, as_of: self.progress.word.unwrap_or(seen) }
     }
 
-    /// Opens a connection; it is ended by a move.
-    fn connect(&self, at: SocketAddr, moves: u64) -> Result<Socket, Bad> {
-        let socket = Socket::connect(at, by(CONNECT)).map_err(|_| Bad::Broken)?;
+    /// Opens a connection; it is ended by a move. Where this machine is short of something for it, it tries again.
+    fn connect(&mut self, at: SocketAddr, moves: u64) -> Result<Socket, Bad> {
+        let last = by(CONNECT);
+        let mut retry = LocalRetry::default();
+        let socket = loop {
+            match Socket::connect(at, last) {
+                Ok(socket) => break socket,
+                Err(ConnectError::Peer(_)) => return Err(Bad::Broken),
+                Err(ConnectError::Local(why)) => {
+                    tracing::debug!("no connection for discovery yet: {why}");
+                    if !retry.wait(last) {
+                        self.progress.short = true;
+                        return Err(Bad::Broken);
+                    }
+                }
+            }
+        };
         let mut place = self.registry.place();
         if place.moves != moves {
             return Err(Bad::Ended);
--- a/dispatcher/src/wire/socket.rs
+++ b/dispatcher/src/wire/socket.rs
@@ -12,6 +12,61 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Why a connection did not come up.
+#[derive(Debug)]
+pub enum ConnectError {
+    /// This machine is short of something (descriptors, ports, memory), or the call was interrupted: that says nothing of
+    /// the peer.
+    Local(io::Error),
+    /// The peer refused it, or could not be reached in time.
+    Peer(io::Error),
+}
+
+impl From<io::Error> for ConnectError {
+    /// As socket(2) and connect(2) document the numbers.
+    fn from(error: io::Error) -> ConnectError {
+        match error.raw_os_error() {
+            Some(
+                libc::EMFILE
+                | libc::ENFILE
+                | libc::ENOBUFS
+                | libc::ENOMEM
+                | libc::ENOSPC
+                | libc::EADDRNOTAVAIL
+                | libc::EADDRINUSE
+                | libc::EAGAIN
+                | libc::EINTR,
+            ) => ConnectError::Local(error),
+            _ => ConnectError::Peer(error),
+        }
+    }
+}
+
+/// The pauses between tries of what this machine was short of something for: the first, and the longest.
+const LOCAL_RETRY: [Micros; 2] = [2_000, 50_000];
+
+/// The growing pause between such tries.
+#[derive(Clone, Copy, Debug)]
+pub struct LocalRetry(Micros);
+
+impl Default for LocalRetry {
+    fn default() -> LocalRetry {
+        LocalRetry(LOCAL_RETRY[0])
+    }
+}
+
+impl LocalRetry {
+    /// Waits before the next try; false, at once, if there is no time for one before the deadline.
+    pub fn wait(&mut self, deadline: Micros) -> bool {
+        if clock::now() + self.0 >= deadline {
+            return false;
+        }
+        may::coroutine::sleep(Duration::from_micros(self.0 as u64));
+        self.0 = (self.0 * 2).min(LOCAL_RETRY[1]);
+        true
+    }
+}
+
 /// A connection that several coroutines share.
 #[derive(Clone)]
 pub struct Socket(Arc<TcpStream>);
@@ -23,12 +78,12 @@
         Socket(Arc::new(stream))
     }
     /// Opens a connection.
-    pub fn connect(to: SocketAddr, deadline: Micros) -> io::Result<Socket> {
+    pub fn connect(to: SocketAddr, deadline: Micros) -> Result<Socket, ConnectError> {
         let left = clock::left(deadline);
         if left.is_zero() {
-            return Err(ErrorKind::TimedOut.into());
+            return Err(ConnectError::Peer(ErrorKind::TimedOut.into()));
         }
-        TcpStream::connect_timeout(&to, left).map(Socket::new)
+        Ok(TcpStream::connect_timeout(&to, left).map(Socket::new)?)
     }
     /// Reads what there is, waiting for the first byte. 0 is the end.
     pub fn read(&self, into: &mut [u8], deadline: Micros) -> io::Result<usize> {
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -1,7 +1,7 @@
 //! Connections to upstream hosts over HTTP/1.1: one upstream request at a time on each.
 
 use super::http::{self, Bad, Message, Reader, by};
-use super::socket::Socket;
+use super::socket::{ConnectError, LocalRetry, Socket};
 use crate::memory::{Ask, Dialer, Heard, Inbox, Input, Link, LinkIs, UpstreamId, UpstreamRequest, clock};
 use may::sync::mpsc::{Receiver, Sender, channel};
 use roselock::settings::Site;
@@ -138,8 +138,14 @@
         }
         let opened = self.reader.is_none().then(clock::now);
         let late = || clock::now() >= request.begin_by;
-        if opened.is_some() && !self.open(request) {
-            return (unsent(if late() { Outcome::Moot } else { Outcome::ConnectFailed }), LinkIs::Closed);
+        if opened.is_some()
+            && let Err(why) = self.open(request)
+        {
+            let outcome = match why {
+                NotOpened::Unreachable if !late() => Outcome::ConnectFailed,
+                NotOpened::Unreachable | NotOpened::NotBegun => Outcome::Moot,
+            };
+            return (unsent(outcome), LinkIs::Closed);
         }
         let closed_at_once = |now| opened.is_some_and(|at| now - at <= IMMEDIATE_CLOSE);
         let Some((socket, reader)) = &mut self.reader else { return (Heard::Nothing, LinkIs::Closed) };
@@ -179,26 +185,56 @@
         }
     }
 
-    fn open(&mut self, request: &UpstreamRequest) -> bool {
-        // Given up before it began: not even a connection is to be seen of it.
-        if matches!(*self.state.lock().unwrap_or_else(PoisonError::into_inner), State::Aborted) {
-            return false;
-        }
-        let by = request.connect_by.min(request.begin_by).min(request.deadline);
-        let Ok(socket) = Socket::connect(self.endpoint, by) else {
-            return false;
+    /// Whether it was given up before it began: not even a connection is to be seen of it then.
+    fn is_aborted(&self) -> bool {
+        matches!(*self.state.lock().unwrap_or_else(PoisonError::into_inner), State::Aborted)
+    }
+
+    /// Opens the connection. Where this machine is short of something for it, it tries again for as long as the request may
+    /// begin: that says nothing of the host, and uses up no attempt.
+    fn open(&mut self, request: &UpstreamRequest) -> Result<(), NotOpened> {
+        let last = request.begin_by.min(request.deadline);
+        let timeout = request.connect_by - clock::now();
+        let mut connect_by = request.connect_by;
+        let mut retry = LocalRetry::default();
+        let socket = loop {
+            if self.is_aborted() {
+                return Err(NotOpened::NotBegun);
+            }
+            match Socket::connect(self.endpoint, connect_by.min(last)) {
+                Ok(socket) => break socket,
+                Err(ConnectError::Peer(why)) => {
+                    tracing::debug!("no connection to {}: {why}", self.endpoint);
+                    return Err(NotOpened::Unreachable);
+                }
+                Err(ConnectError::Local(why)) => {
+                    tracing::debug!("no connection for {} yet: {why}", self.endpoint);
+                    if !retry.wait(last) {
+                        return Err(NotOpened::NotBegun);
+                    }
+                    connect_by = clock::now() + timeout;
+                }
+            }
         };
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if let State::Aborted = *state {
-            return false;
+            return Err(NotOpened::NotBegun);
         }
         *state = State::Open(socket.clone());
         drop(state);
         self.reader = Some((socket.clone(), Reader::new(socket)));
-        true
+        Ok(())
     }
 }
 
+/// Why a connection was not opened.
+enum NotOpened {
+    /// The host refused it, or could not be reached in time.
+    Unreachable,
+    /// The request was given up first, or this machine was short of something up to its end.
+    NotBegun,
+}
+
 fn write(socket: &Socket, endpoint: SocketAddr, request: &UpstreamRequest) -> std::io::Result<()> {
     let host = format!(" HTTP/1.1\r\nHost: {endpoint}\r\n");
     match &request.ask {
--- a/dispatcher/tests/system_calls.rs
+++ b/dispatcher/tests/system_calls.rs
@@ -108,7 +108,7 @@
                 let mut kept = None;
                 let ask = |n: usize| {
                     // Every fourth request comes on a new connection.
-                    if n % 4 == 0 {
+                    if n.is_multiple_of(4) {
                         kept = None;
                     }
                     ask(
@@ -138,7 +138,52 @@
 #[case::read(&[("FAULT_RECV", 5)])]
 #[case::socket(&[("FAULT_SOCKET", 3)])]
 #[case::connect(&[("FAULT_CONNECT", 3)])]
+#[case::all(&[
+    ("FAULT_ACCEPT", 7), ("FAULT_SOCKET", 11), ("FAULT_CONNECT", 13), ("FAULT_RECV", 17), ("FAULT_SEND", 19), ("FAULT_EPOLL", 23),
+])]
 fn calls_that_fail_lose_no_request(#[case] kinds: &[(&'static str, u32)]) {
     let faults = kinds.iter().fold(Faults::new(), |faults, (call, every)| faults.with(call, every));
     assert_eq!(play(faults), [(Some(200), REQUESTS)]);
 }
+
+/// A worker that cannot be reached now and then may have requests refused; none is lost, and no payment runs twice.
+#[rstest]
+fn ways_that_are_lost_lose_no_request() {
+    let ends = play(Faults::new().with("FAULT_UNREACHABLE", 5).with("FAULT_RECV", 17));
+    let served = ends.iter().find(|(end, _)| *end == Some(200)).map_or(0, |(_, n)| *n);
+    assert!(ends.iter().all(|(end, _)| matches!(end, Some(200 | 503))), "{ends:?}");
+    assert!(served > REQUESTS / 2, "{ends:?}");
+}
+
+/// A shortage that lasts uses up no attempt and is not held against the worker: what waits goes out once it is over, unless
+/// its client has left.
+#[rstest]
+fn a_shortage_that_lasts_is_waited_out() {
+    let host = Host::new("s-1");
+    let (discovery, known, settings) =
+        (Discovery::start(), list(7, true, &[host.line("ready")]), settings(0.0, 2.0));
+    let short =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("short-{}", std::process::id()));
+    let faults = Faults::new().with("FAULT_SOCKET", 1).with("FAULT_WHILE", short.display());
+    let start = Start { faults: Some(faults), admin: true, ..Start::new(discovery.at, &settings, &known) };
+    let dispatcher = Dispatcher::launch(start);
+    until_ready(&dispatcher);
+    std::fs::write(&short, "").expect("a file");
+    let mut stays = dispatcher.ask("c1", "pay", 10.0);
+    let leaves = dispatcher.ask("c2", "pay", 10.0);
+    // Longer than four attempts whose connections do not come up.
+    let began = std::time::Instant::now();
+    while began.elapsed().as_secs_f64() < 2.5 {
+        assert!(dispatcher.call("METRICS")[0].contains(r#""current":2"#));
+    }
+    drop(leaves);
+    while !dispatcher.call("METRICS")[0].contains(r#""current":1"#) {
+        assert!(began.elapsed() < PATIENCE);
+    }
+    std::fs::remove_file(&short).expect("it was there");
+    let (_peer, request) = host.take();
+    assert_eq!(request.header("x-call-id"), Some("c1"));
+    assert_eq!(dispatcher.call_back("c1", "s-1", common::platform::DONE), 204);
+    assert_eq!(stays.read().expect("an answer").status(), 200);
+    assert!(dispatcher.call("METRICS")[0].contains(r#""sends":1,"current":0"#));
+}
