A message may take 2.7 s to come in

Ruled out: 3 s, which who stops in the middle is owed: a dispatcher held up for 0.15 s would be late.

Change: HELLO and INCOMING are 2.7 s: 0.7 s over the one figure, 0.3 s under the other.

--- a/dispatcher/src/wire/table.rs
+++ b/dispatcher/src/wire/table.rs
@@ -9,11 +9,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// How long a connection may take from its first moment to its first whole message. Who says nothing, or half of
-/// something, is told or closed after it.
-pub const HELLO: Micros = 2 * SECOND;
+/// How long a connection may take from its first moment to its first whole message: more than the 2 s over which slow clients
+/// write, less than the 3 s within which who stops is owed an error or a close, with room on both sides. Who says nothing, or
+/// half of something, is told or closed after it.
+pub const HELLO: Micros = SECOND * 27 / 10;
 /// How long a further message may take to come in, from its first byte.
-pub const INCOMING: Micros = 2 * SECOND;
+pub const INCOMING: Micros = SECOND * 27 / 10;
 /// Connections beyond the most that are accepted while others are being shed.
 const OVER: usize = 8;
 /// Looks, a millisecond apart, for such as need not be missed before one goes that is between requests.
