A changed start time is a start, dated by one's own steady clock

Cause: the decisions took a line for a restart only where its start time was later than the one before, and reckoned its age between the wall clocks of two machines: one of them an hour off, and a cold worker counted as warm, or a warm one as cold for an hour.

Change: any changed time is a start; how long ago it was is what the line says only if that lies in the time since the list was in step (2.5 s on an open watch, else since its end), else now; before the first word of discovery, never later than now.

--- a/crates/startup/src/lease.rs
+++ b/crates/startup/src/lease.rs
@@ -7,7 +7,7 @@
 //! lease has run out, and it is renewed by a word of the service, or by a call that shows that the service cannot be
 //! reached: a service that is down must not stop the work.
 
-use crate::pace::{ANSWER, EndReason, Micros, TOLD, WatchEnd};
+use crate::pace::{ANSWER, EndReason, Micros, SILENCE, TOLD, WatchEnd};
 
 /// After the operators have moved the list service, what it knows counts as told so soon.
 const TOLD_AFTER_MOVE: Micros = 4_000_000;
@@ -30,19 +30,21 @@
     until: Micros,
     /// The proof that is still wanted before failed calls renew it.
     wanted: u8,
+    /// The list was in step with the service up to then, if the watch has ended since.
+    ended_at: Option<Micros>,
 }
 
 impl ListLease {
     /// A lease that never runs out, where nothing counts as told unheard.
     pub fn unlimited() -> ListLease {
-        ListLease { term: None, until: Micros::MAX, wanted: 0 }
+        ListLease { term: None, until: Micros::MAX, wanted: 0, ended_at: None }
     }
 
     /// The lease of a process that has only a list of before its start. Connections that take up to `connect` to come up
     /// shorten its term.
     pub fn unconfirmed(connect: Micros) -> ListLease {
         let late = (connect - CONNECT_SLACK).clamp(0, TOLD / 2);
-        ListLease { term: Some(TOLD - late), until: Micros::MIN, wanted: PROOF_AT_START }
+        ListLease { term: Some(TOLD - late), until: Micros::MIN, wanted: PROOF_AT_START, ended_at: None }
     }
 
     /// The same where a list of before the start is acted on with care until the list service has answered.
@@ -59,10 +61,21 @@
     pub fn renewed(&mut self) {
         self.until = Micros::MAX;
         self.wanted = 0;
+        self.ended_at = None;
+    }
+
+    /// A moment up to which the list was in step with the service: an open watch that falls silent is noticed within a
+    /// bounded time, and one that has ended tells up to when it was. A list that nobody else's clock speaks in always was.
+    pub fn in_step_at(&self, now: Micros) -> Micros {
+        match self.term {
+            None => Micros::MIN,
+            Some(_) => self.ended_at.unwrap_or(now - SILENCE),
+        }
     }
 
     /// The watch, or the call for one, ended; the next call is made at `next_call`.
     pub fn watch_ended(&mut self, end: WatchEnd, next_call: Micros) {
+        self.ended_at.get_or_insert(end.as_of);
         let Some(term) = self.term else { return };
         if end.reason == EndReason::Local {
             // No sign of the service: the list is as old as it was.
--- a/crates/startup/tests/lease.rs
+++ b/crates/startup/tests/lease.rs
@@ -76,6 +76,18 @@
     assert_eq!(runs_out(&lease), Some(190));
 }
 
+/// Guards against a start that is believed to be older than the list has been out of step.
+#[rstest]
+fn the_list_was_in_step_up_to_the_first_end_of_its_watch() {
+    let mut lease = ListLease::unconfirmed(CONNECT);
+    lease.renewed();
+    assert_eq!(lease.in_step_at(60 * SECOND), 60 * SECOND - roselock_startup::pace::SILENCE);
+    lease.watch_ended(end(EndReason::Silent, 60 * SECOND), 62 * SECOND);
+    lease.watch_ended(end(EndReason::Refused, 65 * SECOND), 66 * SECOND);
+    assert_eq!(lease.in_step_at(70 * SECOND), 60 * SECOND);
+    assert_eq!(ListLease::unlimited().in_step_at(70 * SECOND), Micros::MIN);
+}
+
 /// Guards against a shortage of this machine's own that is taken for a service that cannot be reached: its changes count as
 /// told all the same.
 #[rstest]
--- a/dispatcher/src/memory/core/hosts.rs
+++ b/dispatcher/src/memory/core/hosts.rs
@@ -40,7 +40,7 @@
                 dial_queue: VecDeque::new(),
                 preconnecting: false,
             });
-            let restarted = listed.entry.up_since > host.entry.up_since;
+            let restarted = listed.entry.up_since != host.entry.up_since;
             if restarted || listed.endpoint != host.endpoint || listed.entry.state != Listed::Ready {
                 host.pool.clear();
                 host.dial_limiter = DialLimiter::new(clock::now());
--- a/dispatcher/tests/slow_start.rs
+++ b/dispatcher/tests/slow_start.rs
@@ -62,11 +62,11 @@
     }
 }
 
-/// How many of many requests at once reach the worker in their first second.
+/// How many of many requests at once reach the worker in one span of a second, less what the test's own clock may be off.
 fn in_a_second(dispatcher: &Dispatcher, taken: &Receiver<String>) -> usize {
+    let until = Instant::now() + Duration::from_millis(950);
     let _clients: Vec<Peer> =
         (0..3 * SLOTS).map(|n| dispatcher.ask(&format!("c{n}"), "look", 10.0)).collect();
-    let until = Instant::now() + Duration::from_secs(1);
     let mut got = 0;
     while taken.recv_timeout(until.saturating_duration_since(Instant::now())).is_ok() {
         got += 1;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -310,7 +310,7 @@
     fn warmth(&self, worker: &Worker, at: Micros) -> f64 {
         let safety = &self.set.safety;
         let broke = worker.broke.filter(|at| self.now - at < PRESUMED);
-        let up = worker.listed.up_since.max(broke).filter(|up| at < up.saturating_add(safety.cold));
+        let up = worker.started.max(broke).filter(|up| at < up.saturating_add(safety.cold));
         let age = |up: Micros| (at - up).max(0) as f64 / safety.cold as f64;
         up.map_or(1.0, |up| safety.cold_share + (1.0 - safety.cold_share) * age(up))
     }
@@ -511,10 +511,14 @@
         let (mut means, turnover) = (None, self.turnover());
         for e in entries {
             let known = self.index.get(&e.worker).copied();
-            match known.filter(|w| e.up_since <= self.workers[*w].listed.up_since) {
+            // A changed time is a start, whatever it says; one that was long ago when first listed is none.
+            let started = known.is_some() || e.up_since.is_some();
+            match known.filter(|w| e.up_since == self.workers[*w].listed.up_since) {
                 None => {
                     let (room, price) = *means.get_or_insert_with(|| self.newcomer(FIRST_ROOM));
-                    self.enrol(known, Worker::new(e, room, price, self.now));
+                    let mut worker = Worker::new(e, room, price, self.now);
+                    worker.started = started.then(|| self.start_of(e.up_since)).flatten();
+                    self.enrol(known, worker);
                     changed = true;
                 }
                 Some(w) => {
@@ -568,7 +572,7 @@
     /// A new process: what was learned of an old one and what it held is void, what was sent lately counts.
     fn enrol(&mut self, known: Option<usize>, mut new: Worker) {
         let w = known.unwrap_or(self.workers.len());
-        self.order[2].extend(Some(w).filter(|_| new.listed.up_since.is_some()));
+        self.order[2].extend(Some(w).filter(|_| new.started.is_some()));
         // From a list of before: tried by one job first.
         new.doubt = Some(self.now).filter(|_| self.careful);
         if let Some(old) = self.workers.get_mut(w) {
@@ -763,7 +767,7 @@
         let waits = self.waits.each_ref().map(|w| w.pooled(0.0, now, WAIT_MEMORY));
         self.outlook = (self.turnover(), waits);
         let warm = now - self.set.safety.cold - self.set.safety.fall;
-        self.order[2].retain(|w| self.workers[*w].listed.up_since.is_some_and(|up| up > warm));
+        self.order[2].retain(|w| self.workers[*w].started.is_some_and(|up| up > warm));
         self.near.clear();
         for (part, most) in NEAR.into_iter().enumerate() {
             // Queues that all schedulers fill never drain: the longer the wait, the fewer workers we try.
--- a/src/state.rs
+++ b/src/state.rs
@@ -150,6 +150,8 @@
 #[repr(C)]
 pub(crate) struct Worker {
     pub(crate) listed: FleetEntry,
+    /// When its process started, by our own clock; none: long ago.
+    pub(crate) started: Option<Micros>,
     pub(crate) ready: bool,
     /// Most `units` listed.
     pub(crate) size: f64,
@@ -226,6 +228,7 @@
     pub(crate) fn new(e: &FleetEntry, room: [f64; 2], price: Lanes, now: Micros) -> Worker {
         let mut worker = Worker {
             listed: e.clone(),
+            started: e.up_since.map(|up| up.min(now)),
             size: e.units,
             ready: e.state == Listed::Ready,
             own: [0.0; 2],
@@ -470,6 +473,8 @@
     pub(crate) calls: Pace,
     /// How long the list may be acted on.
     pub(crate) lease: ListLease,
+    /// Discovery has told what it knows: a start that it tells of from now on is a new one.
+    pub(crate) in_step: bool,
     /// The list is one of before and not confirmed yet, and that is to be minded.
     pub(crate) careful: bool,
     /// The quickest start of a job in each zone.
@@ -527,6 +532,7 @@
             seat: seat(set.me, set.fleet_size),
             calls: Pace::new(set.list_call),
             lease: lease(&set),
+            in_step: false,
             // Where nobody is asked, nobody ever confirms.
             careful: set.careful && set.must_watch,
             quickest: BTreeMap::new(),
@@ -543,6 +549,7 @@
                     self.heard_of_discovery();
                 }
                 self.heed(*mode, entries, out);
+                self.in_step |= *mode != ListMode::Known;
             }
             Event::WatchEnded(end) => self.watch_ended(*end, out),
             Event::ListMoved(at) => self.lease.moved(*at),
@@ -567,6 +574,17 @@
         out.push(Action::Timer { after, token: WATCH_TOKEN });
     }
 
+    /// When a process started that the list tells of anew, by our own clock. Clocks may be stepped, its machine's, the list's
+    /// and our own: what it says is believed where our own steady clock bears it out, which is the time since the list was in
+    /// step. Else it has started now. Before the first word of discovery nothing bears it out, nor contradicts it.
+    pub(crate) fn start_of(&self, told: Option<Micros>) -> Option<Micros> {
+        if !self.in_step {
+            return told.map(|up| up.min(self.now));
+        }
+        let since = self.lease.in_step_at(self.now);
+        Some(told.filter(|up| (since..=self.now).contains(up)).unwrap_or(self.now))
+    }
+
     /// Whether the list of workers may be acted on: nothing is sent while it may not.
     pub fn list_holds(&self) -> bool {
         self.lease.holds(self.now)
