A job goes to a worker again only where nothing more can come of its earlier attempt

Cause: a call-back names a request and a worker, not an attempt. Where a request went to one worker twice, a word that came again or late could not be told from a new one: heeded, it ended an attempt that ran, and a payment went out four times; ignored, the second genuine one was lost, and the client waited for its deadline.

Ruled out: answering such calls with an error until they can be told apart: a worker repeats a genuine and a stale call alike; asking the worker by a DELETE: a stale word would end a payment that runs.

Change: the core says before a verdict that the worker may still tell of the attempt (it ended by a call-back, by a break before the 202, by a withdrawal or by its time); the decisions send the job there no more, and refuse it at once where no other worker is ready. An answer on the connection (500, 503) settles an attempt, as do connections that never came up. Core::called_back no longer guesses.

--- a/dispatcher/src/memory/core.rs
+++ b/dispatcher/src/memory/core.rs
@@ -86,8 +86,6 @@
     rounds: u32,
     /// The attempt that is out.
     out: Option<UpstreamId>,
-    /// The host whose call-back ended its last attempt, and what that said.
-    called_back: Option<(WorkerId, Outcome)>,
     /// The window in which its class may be repeated, as it was when it came, if it has one.
     window: Option<Micros>,
     /// From when on it may not begin again: the first attempt that may have run left that long before.
--- a/dispatcher/src/memory/core/attempts.rs
+++ b/dispatcher/src/memory/core/attempts.rs
@@ -69,13 +69,19 @@
                     self.upstreams.get(&id).filter(|u| !u.ended).and_then(|u| self.streams.get(&u.stream));
                 stream.iter().for_each(|s| s.downstream.say(saying, &bytes));
             }
-            Heard::Ended(outcome, gauge, body) => self.end(id, outcome, gauge, body),
+            Heard::Ended(outcome, gauge, body) => {
+                if outcome == Outcome::Reset {
+                    self.unsettled(id);
+                }
+                self.end(id, outcome, gauge, body);
+            }
             Heard::Probed(ok, gauge) => {
                 self.fleets[fleet].events.push(Event::Health { worker: host, ok, gauge });
             }
             Heard::Withdrawn => {
                 let gone = self.upstreams.get_mut(&id).and_then(|u| u.withdraws.take());
                 if let Some(gone) = gone {
+                    self.unsettled(gone);
                     self.end(gone, Outcome::Cancelled, Gauge::default(), Vec::new());
                     self.drop_upstream(gone);
                 }
@@ -95,6 +101,7 @@
         self.retry_withdrawal(id);
         let lost = |u: &Upstream| u.link.is_none() && !u.taken && !u.ended && !u.waits;
         if self.upstreams.get(&id).is_some_and(lost) {
+            self.unsettled(id);
             self.end(id, Outcome::Reset, Gauge::default(), Vec::new());
         }
         self.drop_upstream(id);
@@ -109,7 +116,7 @@
     pub(super) fn called_back(&mut self, call: &str, from: &str, told: Told, gauge: Gauge) {
         // Of a former life, of another stream, of an attempt that is over: not ours to heed.
         let stream = self.calls.get(call).and_then(|id| self.streams.get(id));
-        let Some((stream, id)) = stream.and_then(|s| Some((s, s.out?))) else {
+        let Some(id) = stream.and_then(|s| s.out) else {
             tracing::debug!(id = call, from, "call-back of no attempt that is out here");
             return;
         };
@@ -117,16 +124,12 @@
         if self.fleets[up.fleet].hosts.get(&up.host).is_none_or(|h| h.uid != from) {
             return;
         }
-        // A repeat of the word that ended the attempt before, at the same host, says nothing of this one.
-        let before = stream.called_back.filter(|(host, _)| *host == up.host && !up.taken);
-        let host = up.host;
         match told {
             Told::Started => self.notice(id, Note::Started),
             Told::Progress(share) => self.notice(id, Note::Progress(share)),
-            Told::Ended(outcome, _) if before.is_some_and(|(_, word)| word == outcome) => {}
             Told::Ended(outcome, body) => {
-                let stream = self.calls.get(call).and_then(|id| self.streams.get_mut(id));
-                stream.into_iter().for_each(|s| s.called_back = Some((host, outcome)));
+                // The host calls again until it has our answer: the same word may come once more.
+                self.unsettled(id);
                 self.end(id, outcome, gauge, body);
             }
         }
@@ -144,6 +147,16 @@
         });
     }
 
+    /// The host of an attempt may still tell of it after its end: no further attempt of its stream goes there, as nothing in
+    /// a call-back tells which attempt it is of. A host that came to us speaks on its own connection.
+    pub(super) fn unsettled(&mut self, id: UpstreamId) {
+        let Some(up) = self.upstreams.get(&id).filter(|u| !u.ended) else { return };
+        let fleet = &mut self.fleets[up.fleet];
+        if fleet.hosts.get(&up.host).is_some_and(|host| host.link.is_none()) {
+            fleet.events.push(Event::Unsettled { job: JobId(up.stream), worker: up.host });
+        }
+    }
+
     /// The one place where an attempt ends.
     pub(super) fn end(&mut self, id: UpstreamId, outcome: Outcome, gauge: Gauge, body: Vec<u8>) {
         let Some(up) = self.upstreams.get_mut(&id).filter(|u| !u.ended) else { return };
@@ -215,6 +228,7 @@
         if let Some(payload) = payload.clone().filter(|_| !taken) {
             self.abandoned.insert(id, (fleet, host, payload));
         }
+        self.unsettled(id);
         self.end(id, outcome, Gauge::default(), Vec::new());
         self.drop_upstream(id);
         if let Some(payload) = payload.filter(|_| taken && !resident) {
--- a/dispatcher/src/memory/core/dial_queue.rs
+++ b/dispatcher/src/memory/core/dial_queue.rs
@@ -165,6 +165,9 @@
                 (false, true) => Outcome::Moot,
                 (false, false) => Outcome::ConnectFailed,
             };
+            if outcome == Outcome::Reset {
+                self.unsettled(id);
+            }
             return self.end(id, outcome, Gauge::default(), Vec::new());
         };
         let (ask, class) = (Ask::Run(stream.payload.clone()), Some(stream.class.0 as usize));
--- a/dispatcher/src/memory/core/streams.rs
+++ b/dispatcher/src/memory/core/streams.rs
@@ -50,7 +50,6 @@
             answered: false,
             rounds: 0,
             out: None,
-            called_back: None,
             window: match self.fleets[new.fleet].set.classes[new.class.0 as usize].effect {
                 Effect::Keyed { window, .. } => Some(window),
                 _ => None,
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -142,8 +142,8 @@
             && let Err(why) = self.open(request)
         {
             let outcome = match why {
-                NotOpened::Unreachable if !late() => Outcome::ConnectFailed,
-                NotOpened::Unreachable | NotOpened::NotBegun => Outcome::Moot,
+                NotOpened::Failed if !late() => Outcome::ConnectFailed,
+                NotOpened::Failed | NotOpened::Short => Outcome::Moot,
             };
             return (unsent(outcome), LinkIs::Closed);
         }
@@ -199,18 +199,18 @@
         let mut retry = LocalRetry::default();
         let socket = loop {
             if self.is_aborted() {
-                return Err(NotOpened::NotBegun);
+                return Err(NotOpened::Failed);
             }
             match Socket::connect(self.endpoint, connect_by.min(last)) {
                 Ok(socket) => break socket,
                 Err(ConnectError::Peer(why)) => {
                     tracing::debug!("no connection to {}: {why}", self.endpoint);
-                    return Err(NotOpened::Unreachable);
+                    return Err(NotOpened::Failed);
                 }
                 Err(ConnectError::Local(why)) => {
                     tracing::debug!("no connection for {} yet: {why}", self.endpoint);
                     if !retry.wait(last) {
-                        return Err(NotOpened::NotBegun);
+                        return Err(NotOpened::Short);
                     }
                     connect_by = clock::now() + timeout;
                 }
@@ -218,7 +218,7 @@
         };
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if let State::Aborted = *state {
-            return Err(NotOpened::NotBegun);
+            return Err(NotOpened::Failed);
         }
         *state = State::Open(socket.clone());
         drop(state);
@@ -229,10 +229,10 @@
 
 /// Why a connection was not opened.
 enum NotOpened {
-    /// The host refused it, or could not be reached in time.
-    Unreachable,
-    /// The request was given up first, or this machine was short of something up to its end.
-    NotBegun,
+    /// The host refused it or could not be reached in time, or the request was given up first.
+    Failed,
+    /// This machine was short of something up to the end of the request's time.
+    Short,
 }
 
 fn write(socket: &Socket, endpoint: SocketAddr, request: &UpstreamRequest) -> std::io::Result<()> {
--- a/dispatcher/tests/common/http.rs
+++ b/dispatcher/tests/common/http.rs
@@ -1,6 +1,6 @@
 //! Clients and upstream hosts over HTTP/1.1, word by word.
 
-use super::{PATIENCE, bind, patient, target};
+use super::{PATIENCE, bind, connect, patient, target};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::channel;
@@ -106,6 +106,26 @@
     }
 }
 
+/// The first request that either host gets on a new connection, and whose it is.
+pub fn accept_either<'a>(first: &'a Host, second: &'a Host) -> (Peer, Message, &'a Host) {
+    let (got, gets) = channel();
+    let hosts = [first, second];
+    for (index, host) in hosts.into_iter().enumerate() {
+        let (listener, got) = (host.listener.try_clone().expect("a clone"), got.clone());
+        std::thread::spawn(move || {
+            let _ = got.send((index, listener.accept().expect("a connection").0));
+        });
+    }
+    let (index, stream) = gets.recv_timeout(PATIENCE).expect("a connection");
+    let mut peer = Peer::new(stream);
+    let request = peer.read().expect("a request");
+    // The other listener's waiting thread takes a connection of this test's own and ends.
+    let other = hosts[1 - index];
+    drop(connect(other.listener.local_addr().expect("an address")));
+    gets.recv_timeout(PATIENCE).expect("its own connection");
+    (peer, request, hosts[index])
+}
+
 pub const TAKEN: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
 pub const FAILED: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
 pub const REJECTED: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nX-Load-Report: TEXT x0=0, queue=1\r\nContent-Length: 0\r\n\r\n";
--- a/dispatcher/tests/system_calls.rs
+++ b/dispatcher/tests/system_calls.rs
@@ -173,6 +173,9 @@
     let leaves = dispatcher.ask("c2", "pay", 10.0);
     // Longer than four attempts whose connections do not come up.
     let began = std::time::Instant::now();
+    while !dispatcher.call("METRICS")[0].contains(r#""current":2"#) {
+        assert!(began.elapsed() < PATIENCE);
+    }
     while began.elapsed().as_secs_f64() < 2.5 {
         assert!(dispatcher.call("METRICS")[0].contains(r#""current":2"#));
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -541,6 +541,14 @@
         /// What it says.
         note: Note,
     },
+    /// The worker of a job's attempt may still tell of it, though it is about to end: a call-back that comes late, or again.
+    /// Nothing would tell that word from one of a further attempt there. Comes before the attempt's `Verdict`.
+    Unsettled {
+        /// The job.
+        job: JobId,
+        /// The worker of the attempt.
+        worker: WorkerId,
+    },
     /// An attempt ended; each has exactly one such event.
     Verdict {
         /// The request.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -192,6 +192,10 @@
             Event::Job(job) => self.arrive(job, out),
             Event::Accepted { job, .. } => self.stream(*job),
             Event::Notice { job, round, note } => return self.notice(*job, *round, *note),
+            Event::Unsettled { job, worker } => {
+                let w = self.index.get(worker).copied();
+                self.jobs.entry(*job).and_modify(|j| j.unsettled.extend(w));
+            }
             Event::Verdict { job, round, outcome, last, gauge } => {
                 self.verdict(*job, *round, (*outcome, *last), gauge, out);
             }
@@ -276,6 +280,7 @@
             || job.streaming
             || self.now >= job.deadline
             || job.tries.len() >= limits.send_cap as usize
+            || job.unsettled.contains(&w)
             || (!job.tries.is_empty() && !self.within_allowance())
             || class.kind.is_some_and(|k| k != worker.listed.kind)
             || (self.careful && job.effect == Effect::Unsafe && worker.doubt.is_some())
@@ -1042,12 +1047,18 @@
             let stretch = t.map_or(best, |t| self.pace(&self.workers[t.worker]).exp() * SECOND as f64);
             let (in_time, in_life) = if held { self.chances(j, stretch, 0.0) } else { (1.0, 1.0) };
             let bound = held && t.is_none() && !j.repeatable(self.now);
-            in_time.max(class.late_value * in_life) < least || bound
+            in_time.max(class.late_value * in_life) < least || bound || self.is_stranded(j)
         };
         let lost: Vec<JobId> = self.jobs.iter().filter(|j| lost(j.1)).map(|j| *j.0).collect();
         lost.into_iter().for_each(|id| self.answer(id, out));
     }
 
+    /// Whether a waiting job may go to no worker that is ready, as each may still tell of an earlier attempt.
+    fn is_stranded(&self, job: &Job) -> bool {
+        let barred = |worker: &(u64, usize)| job.unsettled.contains(&worker.1);
+        job.waiting && !self.ring.is_empty() && self.ring.iter().all(barred)
+    }
+
     // ---- Timers ----
 
     /// One tick timer, and only while something waits or is out.
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,8 @@
     /// Worth in mean worths.
     pub(crate) value: f64,
     pub(crate) tries: Vec<Try>,
+    /// Workers that may still tell of an attempt that has ended.
+    pub(crate) unsettled: Vec<usize>,
     pub(crate) waiting: bool,
     pub(crate) streaming: bool,
     pub(crate) ended: bool,
