What was told stays told; lists of up to 4 MiB are read

Cause: Watch::take heeded whole lists of any version; a list over 1 MiB ended the watch, and each one after it.

Ruled out: comparing versions over a move of the list service, where they may start anew: the history begins anew with it.

The bound of a list is 4 MiB.

--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -11,6 +11,7 @@
 use crate::wire::gearman::{self, Gearman};
 use crate::wire::ipfix;
 use crate::wire::list::hosts;
+use crate::wire::list_history::ListHistory;
 use crate::wire::table::Table;
 use crate::wire::upstream::HttpDialer;
 use may::sync::mpsc::channel;
@@ -77,8 +78,11 @@
         resync_after: config.resync_after,
         resync: None,
         progress: Progress::default(),
+        history: ListHistory::default(),
     };
-    let known = hosts(&config.known, &mut watch.site);
+    let mut known = config.known.clone();
+    watch.history.admit(&mut known);
+    let known = hosts(&known, &mut watch.site);
     core.came_up_with(fleet, known);
     may::go!(move || watch.run(&asked));
 
--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -2,6 +2,7 @@
 
 use super::http::{Bad, Reader, by};
 use super::list::{List, Lists, hosts};
+use super::list_history::ListHistory;
 use super::socket::{ConnectError, LocalRetry, Socket};
 use crate::memory::{FleetId, Inbox, Input, clock};
 use may::sync::mpsc::{Receiver, Sender};
@@ -22,8 +23,8 @@
 /// [`DOUBLED`] times.
 const NOBODY: Micros = SECOND;
 const DOUBLED: u32 = 3;
-/// Longest line of a watch, and the longest whole list.
-const LINE: usize = 1 << 20;
+/// Longest line of a watch, and the longest whole list, in bytes: 3,200 workers with 1,300 bytes each.
+const LINE: usize = 4 << 20;
 
 /// Where discovery is, for the watch that asks there and for whoever moves it.
 #[derive(Clone)]
@@ -89,6 +90,8 @@
     pub resync: Option<Micros>,
     /// How far the present watch has come.
     pub progress: Progress,
+    /// What the service at the present address has told.
+    pub history: ListHistory,
 }
 
 /// How far a watch has come.
@@ -139,6 +142,8 @@
     /// dispatcher at a place of its own.
     fn moved(&mut self, moved_at: Micros) {
         self.inbox.post(Input::ListMoved(self.fleet, moved_at));
+        // Versions there may be others.
+        self.history = ListHistory::default();
         let place = (f64::from(self.site.settings.me) * GOLDEN).fract();
         let spread = (self.resync_after as f64 * place) as Micros;
         self.resync = Some(clock::now() + self.resync_after + spread);
@@ -269,7 +274,7 @@
         tracing::warn!("discovery: not a list, dropped ({count} so far): {why}");
     }
 
-    fn take(&mut self, list: List) -> Result<(), Bad> {
+    fn take(&mut self, mut list: List) -> Result<(), Bad> {
         if !list.all && self.rev.is_some_and(|rev| list.rev < rev) {
             // Changes of what is not known here, or of long ago: the whole list is asked for.
             tracing::warn!("discovery: changes go back to version {}; the whole list is asked for", list.rev);
@@ -284,6 +289,7 @@
         if self.nobody {
             tracing::warn!("discovery: a list without any host; it is asked for again");
         }
+        self.history.admit(&mut list);
         let mode = if list.all { ListMode::Complete } else { ListMode::Changes };
         let hosts = hosts(&list, &mut self.site);
         self.inbox.post(Input::Hosts(self.fleet, mode, hosts));
--- a/dispatcher/src/wire/list.rs
+++ b/dispatcher/src/wire/list.rs
@@ -21,7 +21,8 @@
 /// An upstream host, as on the wire.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Target {
-    uid: String,
+    /// Its name.
+    pub(super) uid: String,
     endpoint: String,
     #[serde(default)]
     az: String,
@@ -29,11 +30,13 @@
     model: String,
     #[serde(default)]
     pod_group: u32,
-    state: String,
+    /// `ready`, `draining` or `gone`.
+    pub(super) state: String,
     #[serde(default)]
     capacity_hint: f64,
+    /// Its start, in milliseconds since the Unix epoch; 0: long ago.
     #[serde(default)]
-    boot_ms: f64,
+    pub(super) boot_ms: f64,
 }
 
 /// What a list says of the hosts. Lines that make no sense are left out.
--- a/dispatcher/src/wire/mod.rs
+++ b/dispatcher/src/wire/mod.rs
@@ -9,6 +9,7 @@
 pub mod http;
 pub mod ipfix;
 pub mod list;
+pub mod list_history;
 pub mod socket;
 pub mod table;
 pub mod upstream;
