Headers that contradict each other are no request; a guess at the work is in microseconds

Cause: front/request.rs read the first header of a name, took X-Call-Cost as it stands, and answered a budget over an hour with 400.

Change: X-Call-Id, X-Call-Class, X-Caller, X-Budget and Idempotency-Key that come twice with different values are answered with 400; the guess is divided into seconds; a budget over an hour counts as an hour.

--- a/dispatcher/src/wire/front/request.rs
+++ b/dispatcher/src/wire/front/request.rs
@@ -8,8 +8,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// The longest patience that is believed, in seconds.
+/// The longest patience that is believed, in seconds; who would wait longer has this.
 const PATIENCE: f64 = 3600.0;
+/// Headers that say one thing: two that differ make no sense.
+const SINGLE: [&str; 5] = ["x-call-id", "x-call-class", "x-caller", "x-budget", "idempotency-key"];
 
 /// Nobody's side: a place holder until the stream's own is known.
 struct Nobody;
@@ -25,11 +27,20 @@
     named.into_iter().find(|v| v.is_finite() && *v >= 0.0)
 }
 
+/// A guess at the work, in seconds, from `X-Call-Cost`, which gives it in microseconds.
+fn work_hint(cost: &str) -> Option<f64> {
+    let microseconds = cost.parse::<f64>().ok()?;
+    Some(microseconds / SECOND as f64)
+}
+
 /// The stream of a request; none where a part that it needs is missing or makes no sense.
 pub(super) fn stream_of(front: &Front, message: Message, peer: SocketAddr) -> Option<NewStream> {
+    if SINGLE.iter().any(|name| message.contradicts(name)) {
+        return None;
+    }
     let id = message.header("x-call-id").filter(|id| !message.text(id).trim().is_empty())?;
     let class = front.site.classes.known(message.value("x-call-class")?)?;
-    let budget: f64 = message.value("x-budget")?.parse().ok().filter(|b| (0.0..=PATIENCE).contains(b))?;
+    let budget: f64 = message.value("x-budget")?.parse().ok().filter(|b: &f64| b.is_finite() && *b >= 0.0)?;
     let tenant = message.value("x-caller").and_then(|t| front.site.tenants.known(t));
     let info = message.value("x-call-info").unwrap_or("");
     let path = message.text(&message.target).split('?').next().unwrap_or("");
@@ -44,9 +55,9 @@
         key,
         slots: figure(info, "slots").unwrap_or(1.0),
         memory: figure(info, "memory").unwrap_or(0.0),
-        hint: message.value("x-call-cost").and_then(|h| h.parse().ok()),
+        hint: message.value("x-call-cost").and_then(work_hint),
         ran: 0,
-        deadline: message.arrived + (budget * SECOND as f64) as Micros,
+        deadline: message.arrived + (budget.min(PATIENCE) * SECOND as f64) as Micros,
         peer,
         downstream: Box::new(Nobody),
         payload: Arc::new(Payload {
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -74,6 +74,12 @@
     pub fn value(&self, name: &str) -> Option<&str> {
         self.header(name).map(|v| self.text(&v).trim())
     }
+    /// Whether it has two headers of a name that say different things.
+    pub fn contradicts(&self, name: &str) -> bool {
+        let named = self.headers.iter().filter(|h| self.text(&h.0).eq_ignore_ascii_case(name));
+        let mut values = named.map(|h| self.text(&h.1).trim());
+        values.next().is_some_and(|first| values.any(|other| other != first))
+    }
     /// The most bytes that its body may take beyond what is read at a time.
     pub fn bulk(&self) -> usize {
         if self.chunked { BODY } else { self.length.unwrap_or(0).saturating_sub(CHUNK) }
