SUSPEND and RESTORE are said yes to once their file is on disk; call-backs to pass on are kept

Cause: admin.rs answered when the decisions knew; handover.rs wrote up to 0.1 s later, without a sync, and took the file's wall-clock time and length for its identity; relay.rs dropped what it could not write and left half a record.

Ruled out: a reader that meets half a record: it takes whole ones and stays where they end.

Change: a change wakes the thread that writes; file and folder are synced before the yes; what cannot be saved within 0.5 s is answered with -ERR and why, is in force all the same and is written once it can be. A file is told by its inode, too. The relay keeps what waits (1,024 call-backs) and takes back half a record.

--- a/dispatcher/src/lifecycle/handover.rs
+++ b/dispatcher/src/lifecycle/handover.rs
@@ -5,6 +5,9 @@
 use crate::memory::Inbox;
 use crate::memory::suspensions::{SuspendedWorkers, Suspensions};
 use roselock_operation::saved::Saved;
+use std::fs::File;
+use std::io::Write;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -49,7 +52,7 @@
     }
 }
 
-/// Writes it whole under another name, then puts it in the place of the old one.
+/// Writes it whole under another name, then puts it in the place of the old one, and makes sure that both outlast a crash.
 fn write(path: &Path, owner: &Owner, wanted: &SuspendedWorkers) -> std::io::Result<()> {
     let saved = Saved {
         site: owner.site.clone(),
@@ -59,8 +62,11 @@
         workers: wanted.ids.iter().cloned().collect(),
     };
     let new = path.with_extension(format!("new-{}", std::process::id()));
-    std::fs::write(&new, saved.encode())?;
-    std::fs::rename(&new, path)
+    let mut file = File::create(&new)?;
+    file.write_all(&saved.encode())?;
+    file.sync_all()?;
+    std::fs::rename(&new, path)?;
+    path.parent().map_or(Ok(()), |folder| File::open(folder)?.sync_all())
 }
 
 /// The file as it was before anybody could change what is wanted: what comes later is written, or read again.
@@ -68,7 +74,7 @@
     owner: Owner,
     path: PathBuf,
     written: SuspendedWorkers,
-    seen: Option<(SystemTime, u64)>,
+    seen: Option<Stamp>,
 }
 
 /// Takes over what the process before left. To be called before the admin address opens.
@@ -79,7 +85,9 @@
     if let Some(wanted) = read(&path, &owner) {
         let many = wanted.ids.len();
         tracing::info!("{}: {many} workers out by hand, as the process before left them", owner.name);
+        let sequence = wanted.sequence;
         suspensions.adopt(wanted);
+        suspensions.mark_saved(sequence);
     }
     Kept { owner, path, written: suspensions.workers(), seen }
 }
@@ -88,37 +96,42 @@
 pub fn keep(kept: Kept, suspensions: Arc<Suspensions>, inbox: Inbox) {
     let Kept { owner, path, mut written, mut seen } = kept;
     std::thread::spawn(move || {
-        let mut failing = false;
         loop {
-            std::thread::sleep(LOOK);
             let now = stamp(&path);
             if now != seen {
                 seen = now;
                 if let Some(other) = read(&path, &owner) {
                     written = other.clone();
+                    suspensions.mark_saved(other.sequence);
                     if suspensions.adopt(other) {
                         tracing::info!("{}: workers out by hand as another process left them", owner.name);
                         inbox.nudge();
                     }
                 }
             }
-            let wanted = suspensions.workers();
-            if wanted.sequence > written.sequence {
-                match write(&path, &owner, &wanted) {
-                    Ok(()) => (written, seen, failing) = (wanted, stamp(&path), false),
-                    Err(e) if !failing => {
-                        failing = true;
-                        tracing::warn!("{}: {} cannot be written: {e}", owner.name, path.display());
-                    }
-                    Err(_) => {}
+            let wanted = suspensions.wait_for_change(written.sequence, LOOK);
+            if wanted.sequence <= written.sequence {
+                continue;
+            }
+            match write(&path, &owner, &wanted) {
+                Ok(()) => {
+                    suspensions.mark_saved(wanted.sequence);
+                    (written, seen) = (wanted, stamp(&path));
+                }
+                Err(why) => {
+                    tracing::warn!("{}: {} cannot be written: {why}", owner.name, path.display());
+                    suspensions.note_unsaved(why.to_string());
+                    std::thread::sleep(LOOK);
                 }
             }
         }
     });
 }
 
-/// What tells that the file changed.
-fn stamp(path: &Path) -> Option<(SystemTime, u64)> {
+/// What tells that the file changed: each write makes another file, whatever the wall clock says of it.
+type Stamp = (u64, SystemTime, u64);
+
+fn stamp(path: &Path) -> Option<Stamp> {
     let meta = std::fs::metadata(path).ok()?;
-    Some((meta.modified().ok()?, meta.len()))
+    Some((meta.ino(), meta.modified().ok()?, meta.len()))
 }
--- a/dispatcher/src/lifecycle/relay.rs
+++ b/dispatcher/src/lifecycle/relay.rs
@@ -5,7 +5,7 @@
 use crate::memory::{Inbox, Relay};
 use crate::wire::callbacks;
 use roselock::settings::{Site, fnv};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fs::File;
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::PathBuf;
@@ -61,27 +61,13 @@
 fn run(prefix: &str, site: &Site, inbox: &Inbox, outlet: &Receiver<Vec<u8>>) {
     let dir = std::env::temp_dir();
     let own = dir.join(format!("{prefix}{}", std::process::id()));
-    let (mut out, mut written, mut dropped) = (None::<File>, 0u64, 0u64);
+    let mut out = Own::new(own.clone());
     // What the others wrote before this process began is not for it.
     let mut others: HashMap<PathBuf, Other> = HashMap::new();
     scan(&dir, prefix, &own, &mut others, true);
     loop {
-        while let Ok(body) = outlet.try_recv() {
-            if written + body.len() as u64 + 16 > MOST_BYTES {
-                dropped += 1;
-                if dropped == 1 {
-                    tracing::warn!("call-backs to pass on are dropped: {} holds 4 MiB", own.display());
-                }
-                continue;
-            }
-            if out.is_none() {
-                out = File::options().create(true).append(true).open(&own).ok();
-            }
-            let record = [format!("{}\n", body.len()).as_bytes(), &body, b"\n"].concat();
-            if out.as_mut().is_some_and(|f| f.write_all(&record).is_ok()) {
-                written += record.len() as u64;
-            }
-        }
+        out.waiting.extend(outlet.try_iter().take(QUEUE.saturating_sub(out.waiting.len())));
+        out.write_all_that_waits();
         scan(&dir, prefix, &own, &mut others, false);
         for other in others.values_mut() {
             for body in read(other) {
@@ -92,6 +78,54 @@
     }
 }
 
+/// This process's own file, and what is yet to be written to it: the call-backs were answered, so they are kept while the
+/// disk fails.
+struct Own {
+    path: PathBuf,
+    file: Option<File>,
+    /// Bytes of whole records.
+    written: u64,
+    waiting: VecDeque<Vec<u8>>,
+    dropped: u64,
+}
+
+impl Own {
+    fn new(path: PathBuf) -> Own {
+        Own { path, file: None, written: 0, waiting: VecDeque::new(), dropped: 0 }
+    }
+
+    /// Writes what waits, as far as the disk and the bound of the file allow.
+    fn write_all_that_waits(&mut self) {
+        while let Some(body) = self.waiting.front() {
+            let record = [format!("{}\n", body.len()).as_bytes(), body, b"\n"].concat();
+            if self.written + record.len() as u64 > MOST_BYTES {
+                self.dropped += 1;
+                if self.dropped == 1 {
+                    tracing::warn!("call-backs to pass on are dropped: {} holds 4 MiB", self.path.display());
+                }
+            } else if let Err(why) = self.append(&record) {
+                tracing::debug!("a call-back to pass on waits: {}: {why}", self.path.display());
+                return;
+            }
+            self.waiting.pop_front();
+        }
+    }
+
+    /// Appends a record; a part of one, as a full disk leaves it, is taken back.
+    fn append(&mut self, record: &[u8]) -> std::io::Result<()> {
+        let file = match &mut self.file {
+            Some(file) => file,
+            none => none.insert(File::options().create(true).append(true).open(&self.path)?),
+        };
+        if let Err(why) = file.set_len(self.written).and_then(|()| file.write_all(record)) {
+            let _ = file.set_len(self.written);
+            return Err(why);
+        }
+        self.written += record.len() as u64;
+        Ok(())
+    }
+}
+
 /// Finds the files of the other processes; those found at the start are read from their end on.
 fn scan(
     dir: &std::path::Path,
--- a/dispatcher/src/memory/suspensions.rs
+++ b/dispatcher/src/memory/suspensions.rs
@@ -7,7 +7,8 @@
 use roselock::settings::fnv;
 use std::collections::{BTreeSet, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 /// Most ids that are remembered as listed, and most suspended workers.
 pub const MAX_SUSPENDED: usize = roselock_operation::saved::MOST;
@@ -19,6 +20,11 @@
     /// The number of the latest change, and of the latest that the owner has applied.
     generation: AtomicU64,
     applied: AtomicU64,
+    /// The number, between processes, of the latest change that the file holds, and why a later one could not be written.
+    saved: AtomicU64,
+    unsaved: Mutex<Option<String>>,
+    /// Wakes the thread that writes the file.
+    changed: Condvar,
     /// Ids that the list has named in this process, or the one before it.
     listed: Mutex<HashSet<String>>,
 }
@@ -58,6 +64,7 @@
             return Ok(SetResult::Unchanged);
         }
         workers.sequence += 1;
+        self.changed.notify_all();
         Ok(SetResult::Changed(self.generation.fetch_add(1, Ordering::SeqCst) + 1))
     }
     /// Takes over what another process wrote, if it is newer; true if that changed the set.
@@ -98,6 +105,30 @@
     pub fn applied(&self) -> u64 {
         self.applied.load(Ordering::SeqCst)
     }
+    /// Waits, on a thread, until there is a change after number `written`, at most so long.
+    pub fn wait_for_change(&self, written: u64, most: Duration) -> SuspendedWorkers {
+        let workers = lock(&self.workers);
+        let unchanged = |workers: &mut SuspendedWorkers| workers.sequence <= written;
+        let waited = self.changed.wait_timeout_while(workers, most, unchanged);
+        waited.unwrap_or_else(PoisonError::into_inner).0.clone()
+    }
+    /// Notes that the file holds the changes up to this number, which counts between processes.
+    pub fn mark_saved(&self, sequence: u64) {
+        *lock(&self.unsaved) = None;
+        self.saved.fetch_max(sequence, Ordering::SeqCst);
+    }
+    /// Notes why the file could not be written.
+    pub fn note_unsaved(&self, why: String) {
+        *lock(&self.unsaved) = Some(why);
+    }
+    /// Whether the file holds all changes, or why it does not yet.
+    pub fn saved(&self) -> Result<(), String> {
+        let wanted = lock(&self.workers).sequence;
+        if self.saved.load(Ordering::SeqCst) >= wanted {
+            return Ok(());
+        }
+        Err(lock(&self.unsaved).clone().unwrap_or_else(|| "the file is not written yet".to_owned()))
+    }
     /// For the owner: the suspended workers, if there was a change after number `seen`.
     pub fn changed_since(&self, seen: u64) -> Option<(u64, BTreeSet<WorkerId>)> {
         let generation = self.generation();
--- a/dispatcher/src/wire/admin.rs
+++ b/dispatcher/src/wire/admin.rs
@@ -23,7 +23,8 @@
 const IDLE: Micros = 10 * SECOND;
 /// An answer may take so long to go out.
 const TRANSFER: Micros = SECOND;
-/// A change is answered once the owner has told the decisions, or after so long: it takes effect all the same.
+/// A change is answered once the owner has told the decisions and the file holds it, or after so long: it takes effect all
+/// the same.
 const TOLD_WITHIN: Micros = SECOND / 2;
 
 /// What the admin address sees and steers.
@@ -97,16 +98,25 @@
 
 fn change(admin: &Admin, id: &str, out: bool) -> String {
     let (done, undone) = if out { ("out", "was out") } else { ("back", "was not out") };
-    match admin.suspensions.set(id, out) {
-        Err(why) => format!("-ERR {id}: {why}\n"),
-        Ok(SetResult::Unchanged) => format!("+OK {id} {undone}\n"),
-        Ok(SetResult::Changed(generation)) => {
-            admin.inbox.nudge();
-            let until = by(TOLD_WITHIN);
-            while admin.suspensions.applied() < generation && clock::now() < until {
-                may::coroutine::sleep(Duration::from_millis(1));
-            }
-            format!("+OK {id} {done}\n")
-        }
+    let result = match admin.suspensions.set(id, out) {
+        Err(why) => return format!("-ERR {id}: {why}\n"),
+        Ok(result) => result,
+    };
+    let generation = match result {
+        SetResult::Changed(generation) => generation,
+        SetResult::Unchanged => 0,
+    };
+    admin.inbox.nudge();
+    let until = by(TOLD_WITHIN);
+    let mut saved = admin.suspensions.saved();
+    while (admin.suspensions.applied() < generation || saved.is_err()) && clock::now() < until {
+        may::coroutine::sleep(Duration::from_millis(1));
+        saved = admin.suspensions.saved();
+    }
+    // A yes holds over an upgrade, so it needs the file; without one the change is in force here, and is written later.
+    match (saved, result) {
+        (Err(why), _) => format!("-ERR {id} {done}, but not saved yet: {why}\n"),
+        (Ok(()), SetResult::Unchanged) => format!("+OK {id} {undone}\n"),
+        (Ok(()), SetResult::Changed(_)) => format!("+OK {id} {done}\n"),
     }
 }
