Where connections are scarce, one that rests is closed after 1 s

Cause, now shown: in rig scenario door (3 connections a worker for 8 dispatchers) each dispatcher kept one connection to each worker for as long as it had work now and then; those that were ready first held all twelve and the others none.

Ruled out: the lease on the list by itself: it only made who is first matter more.

Change: with [start] dial_backoff (off on the platform) a connection that was not used for 1 s is closed, the last one too (5 s, and all but one, before).

--- a/crates/startup/src/dial_limiter.rs
+++ b/crates/startup/src/dial_limiter.rs
@@ -18,9 +18,9 @@
 const CAUTIOUS_FOR: Micros = 10 * SECOND;
 /// Smallest share of a dispatcher, in connections a second, so that none starves.
 const MIN_RATE: f64 = 0.5;
-/// A kept connection that was not used for so long is surplus, since the one that fell idle last is used first: all but
-/// one of those are closed.
-pub const SURPLUS_AFTER: Micros = 5 * SECOND;
+/// A kept connection that was not used for so long is surplus where connections are scarce: it is closed, or those who dialled
+/// first would keep all others out for as long as they have work now and then.
+pub const SURPLUS_AFTER: Micros = SECOND;
 
 /// What an installation allows of new connections to one worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/dispatcher/src/memory/core/hosts.rs
+++ b/dispatcher/src/memory/core/hosts.rs
@@ -93,15 +93,14 @@
         }
         self.swept = now;
         for fleet in &mut self.fleets {
-            let since = now - told_idle(&fleet.set);
+            let told = now - told_idle(&fleet.set);
             let trusted = fleet.trust.since(now, Need::Repeatable);
+            // Where connections are scarce, one that rests keeps another dispatcher out.
+            let scarce = fleet.dial_limits.is_some();
+            let since = if scarce { told.max(now - SURPLUS_AFTER) } else { told };
             for host in fleet.hosts.values_mut() {
                 host.pool.expire(since);
-                host.pool.thin(if fleet.dial_limits.is_some() {
-                    trusted.max(now - SURPLUS_AFTER)
-                } else {
-                    trusted
-                });
+                host.pool.thin(trusted);
             }
         }
     }
