--- a/crates/rig/src/clients.rs
+++ b/crates/rig/src/clients.rs
@@ -1,7 +1,7 @@
 //! Clients of both classes behind a front that admits only who is ready: arrivals are drawn ahead, and each request
 //! counts from when it was meant to come.
 
-use crate::http::Connection;
+use crate::http::{Connection, Message};
 use crate::job_id::job_id;
 use crate::ledger::{End, Seen};
 use crate::scenario::PATIENCE;
@@ -87,10 +87,15 @@
 
 /// Sends it and reads its answer.
 fn exchange(world: &World, dispatcher: usize, id: &str, class: &str, deadline: Micros) -> (End, Option<f64>) {
+    let (fate, came) = (&world.fates[dispatcher], world.clock.now());
+    let life = fate.life();
     // A kept connection that was closed meanwhile costs one more try on a new one, as in any client.
     for fresh in [false, true] {
         let kept = if fresh { None } else { world.pools[dispatcher].lock().ok().and_then(|mut p| p.pop()) };
         let reused = kept.is_some();
+        if !reused && !fate.takes_new_connections(world.clock.now()) {
+            return (End::NotTaken, None);
+        }
         let opened = || Connection::open(world.places[dispatcher].listen, Duration::from_secs(1));
         let Some(mut connection) = world.own(kept.map_or_else(opened, Ok)) else {
             return (End::NotTaken, None);
@@ -107,9 +112,19 @@
         let _ =
             connection.patience(Duration::from_micros((deadline + SECOND - world.clock.now()).max(1) as u64));
         let answer = connection.read();
-        if reused && matches!(&answer, Ok(None)) {
+        // Its end crossed the request.
+        let ended = match &answer {
+            Ok(None) => true,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+            Ok(Some(_)) => false,
+        };
+        if reused && ended {
             continue;
         }
+        // In a crowd a new connection may be closed unread.
+        if ended && world.scenario.clients.crowd > 0 {
+            return (End::NotTaken, None);
+        }
         let ended = match &answer {
             Ok(Some(answer)) => {
                 let made = answer.body == format!("made-{id}").as_bytes();
@@ -117,13 +132,18 @@
                 match answer.status() {
                     200 if made => (End::Served, None),
                     429 | 503 => (End::Refused, back),
-                    200 => (End::Lost, None),
+                    200 => {
+                        world.note(Seen::Lost(id.to_owned(), "answered with what no worker made for it"));
+                        (End::Lost, None)
+                    }
                     _ => (End::Failed, None),
                 }
             }
-            // Whose dispatcher was killed under it, by the rig, is owed nothing.
-            _ if world.killed(dispatcher) => (End::Failed, None),
-            _ => (End::Lost, None),
+            _ if fate.owes_nothing(life, came) => (End::Failed, None),
+            other => {
+                world.note(Seen::Lost(id.to_owned(), how_lost(other, reused)));
+                (End::Lost, None)
+            }
         };
         if matches!(&answer, Ok(Some(a)) if a.header("connection") != Some("close"))
             && let Ok(mut pool) = world.pools[dispatcher].lock()
@@ -135,6 +155,19 @@
     (End::NotTaken, None)
 }
 
+/// What became of a connection on which no whole answer came.
+fn how_lost(answer: &std::io::Result<Option<Message>>, reused: bool) -> &'static str {
+    use std::io::ErrorKind::{TimedOut, UnexpectedEof, WouldBlock};
+    match (answer, reused) {
+        (Ok(_), false) => "a new connection ended",
+        (Ok(_), true) => "a kept connection ended",
+        (Err(e), _) if matches!(e.kind(), TimedOut | WouldBlock) => "nothing came",
+        (Err(e), _) if e.kind() == UnexpectedEof => "the answer was cut off",
+        (Err(_), false) => "a new connection broke",
+        (Err(_), true) => "a kept connection broke",
+    }
+}
+
 /// Admits a dispatcher once it says that it is ready.
 pub fn front(world: &World, dispatcher: usize, life: usize) {
     while !world.ended() && world.lives[dispatcher].load(Ordering::SeqCst) == life {
--- a/crates/rig/src/ledger.rs
+++ b/crates/rig/src/ledger.rs
@@ -27,6 +27,8 @@
     Asked(String, bool, Micros),
     /// It ended.
     Ended(String, End),
+    /// Why it is about to end as lost.
+    Lost(String, &'static str),
     /// A worker got a job: worker, id.
     Sent(usize, String),
     /// It began to run there.
@@ -111,6 +113,7 @@
             }
         }
         let mut began: HashMap<&str, u32> = HashMap::new();
+        let mut why: HashMap<&str, &str> = HashMap::new();
         let mut resumed: HashMap<usize, Micros> = HashMap::new();
         let mut told: HashMap<(usize, usize), Micros> = HashMap::new();
         for (at, seen) in &self.0 {
@@ -123,9 +126,11 @@
                     }
                     let due = resumed.get(&dispatcher_of(id).unwrap_or(usize::MAX)).copied();
                     if *end == End::Lost || *at > due.unwrap_or(0).max(*deadline) + slack.answer {
-                        say("one answer", *at, format!("{id} had no answer in time"));
+                        let why = why.get(id.as_str()).copied().unwrap_or("late");
+                        say("one answer", *at, format!("{id} had no answer in time: {why}"));
                     }
                 }
+                Seen::Lost(id, how) => _ = why.insert(id, how),
                 Seen::Began(worker, id) => {
                     let times = began.entry(id).or_insert(0);
                     *times += 1;
@@ -148,6 +153,8 @@
                     resumed.insert(*dispatcher, *at);
                     told.iter_mut().filter(|t| t.0.0 == *dispatcher).for_each(|t| *t.1 = *at);
                 }
+                // A process starts from nothing: what another one was told, it was not.
+                Seen::Started(dispatcher) => told.retain(|(d, _), _| d != dispatcher),
                 // Its new life is listed as ready in the same moment.
                 Seen::Booted(worker, ..) => told.retain(|(_, w), _| w != worker),
                 Seen::Told(dispatcher, worker) => _ = told.entry((*dispatcher, *worker)).or_insert(*at),
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,8 @@
 //! relay between: [`links`] says what passes. Loopback only; nothing is left running when a [`run::Run`] ends.
 
 pub mod clients;
+pub mod crowd;
+pub mod fate;
 pub mod http;
 pub mod ideal;
 pub mod job_id;
@@ -23,6 +25,7 @@
 pub mod run;
 pub mod scale;
 pub mod scenario;
+pub mod soak;
 pub mod time;
 pub mod traffic;
 pub mod worker;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -161,7 +161,8 @@
                 let name = scenario.name.clone();
                 let played = scenario.clone();
                 let progress = std::io::stderr().is_terminal();
-                let options = Options { program: program.clone(), seed, progress };
+                let environment = Vec::new();
+                let options = Options { program: program.clone(), seed, progress, environment };
                 let report = play(scenario, options).map_err(|e| format!("{name}, seed {seed}: {e}"))?;
                 println!("{}", report.row());
                 if let Some(folder) = &run.pages {
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -4,7 +4,7 @@
 use crate::scenario::Scenario;
 use nix::sys::signal::Signal;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::Command;
 
 /// What a dispatcher may take.
@@ -45,9 +45,9 @@
 }
 
 impl Node {
-    /// Starts one; `known` is the list that it comes up with.
+    /// Starts one by the command of its program; `known` is the list that it comes up with.
     pub fn start(
-        program: &Path,
+        mut command: Command,
         place: &Place,
         scenario: &Scenario,
         limits: Limits,
@@ -65,7 +65,6 @@
         });
         let path = place.folder.join("config.json");
         std::fs::write(&path, config.to_string())?;
-        let mut command = Command::new(program);
         command.arg("serve").arg("--config").arg(&path).env("TMPDIR", &tmp);
         if let Some(operator) = &scenario.operator {
             let path = place.folder.join("operator.toml");
--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -113,6 +113,11 @@
         ended
     }
 
+    /// How it ended by itself, if it has.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        if self.ended() { self.child.try_wait().ok().flatten() } else { None }
+    }
+
     /// Waits for its end, for a while.
     pub fn end(&mut self) -> Result<ExitStatus, String> {
         let until = Instant::now() + PATIENCE;
--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -11,17 +11,18 @@
 use crate::time::{Micros, SECOND};
 use crate::worker::Worker;
 use crate::world::World;
-use crate::{clients, list_service, worker_service};
+use crate::{clients, crowd, list_service, worker_service};
 use may::net::TcpListener;
 use nix::sys::signal::Signal;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Words of stack for a coroutine.
-const STACK: usize = 4 * 1024;
+const STACK: usize = 8 * 1024;
 
 /// How a scenario is to be played.
 pub struct Options {
@@ -31,6 +32,8 @@
     pub seed: u64,
     /// Say on standard error how far the run is.
     pub progress: bool,
+    /// What the dispatchers find in their environment, beside what the platform tells.
+    pub environment: Vec<(String, String)>,
 }
 
 /// A run that is under way; its processes end with it.
@@ -117,9 +120,11 @@
         world.list.forget(number);
         let place = &world.places[number];
         world.note(Seen::Started(number));
-        let process = Node::start(&self.options.program, place, &world.scenario, LIMITS, seed, &self.known);
+        let mut program = Command::new(&self.options.program);
+        program.envs(self.options.environment.iter().map(|(name, value)| (name, value)));
+        let process = Node::start(program, place, &world.scenario, LIMITS, seed, &self.known);
         self.processes[number] = Some(process.map_err(|e| format!("n{number}: {e}"))?);
-        world.starts(number);
+        world.fates[number].starts();
         let life = world.lives[number].fetch_add(1, Ordering::SeqCst) + 1;
         let world = world.clone();
         may::go!(move || clients::front(&world, number, life));
@@ -138,6 +143,7 @@
         plan.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (world, seed) = (self.world.clone(), self.options.seed);
         may::go!(move || clients::come(&world, seed));
+        (0..scenario.processes).for_each(|number| crowd::gather(&self.world, number));
         for (at, what) in plan {
             self.watch_until(at)?;
             match what {
@@ -184,7 +190,7 @@
         }
         for number in 0..self.processes.len() {
             let Some(node) = &mut self.processes[number] else { continue };
-            if self.world.killed(number) {
+            if self.world.fates[number].is_ending() {
                 continue;
             }
             if node.process.ended() {
@@ -254,15 +260,23 @@
         let world = self.world.clone();
         if what == Happens::Start {
             // At most one of a name: whoever is there ends first.
+            world.kills(number);
             self.processes[number] = None;
             return self.start(number);
         }
         let Some(node) = &mut self.processes[number] else { return Ok(()) };
         match what {
-            Happens::Kill | Happens::Term => {
-                world.ends(number);
-                if what == Happens::Term {
-                    return node.process.signal(Signal::SIGTERM);
+            // It may have ended by itself since it was told to.
+            Happens::Term | Happens::Reload if node.process.ended() => {}
+            Happens::Term => {
+                world.fates[number].told(world.clock.now());
+                node.process.signal(Signal::SIGTERM)?;
+            }
+            Happens::Reload => node.process.signal(Signal::SIGHUP)?,
+            Happens::Kill => {
+                world.kills(number);
+                if let Some(status) = node.process.exit_status().filter(|status| !status.success()) {
+                    self.faults.push(format!("n{number} crashed: {status}: {:?}", node.process.last()));
                 }
                 node.process.kill();
             }
--- a/crates/rig/src/scale/party.rs
+++ b/crates/rig/src/scale/party.rs
@@ -13,6 +13,7 @@
 use crate::time::{Clock, Micros, SECOND};
 use crate::traffic::TrafficCount;
 use std::net::{SocketAddr, TcpListener};
+use std::process::Command;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -115,7 +116,14 @@
         for place in &self.places {
             self.registry.forget(place.number);
             let seed = self.plan.seed ^ ((place.number as u64 + 1) << 20);
-            let node = Node::start(&self.plan.program, place, &self.scenario, LIMITS, seed, NOTHING_KNOWN);
+            let node = Node::start(
+                Command::new(&self.plan.program),
+                place,
+                &self.scenario,
+                LIMITS,
+                seed,
+                NOTHING_KNOWN,
+            );
             self.nodes.push(node.map_err(|e| format!("n{}: {e}", place.number))?);
         }
         Ok(())
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -114,6 +114,8 @@
     pub burst: f64,
     /// When, in seconds.
     pub burst_at_s: f64,
+    /// Idle connections that are held at each dispatcher; then a new connection may be closed unread.
+    pub crowd: usize,
     /// The aim of both classes, in seconds, beside twice a job's work. The figures count what is served within the
     /// clients' whole patience: a cold worker serves late before it serves in time.
     pub promise_s: f64,
@@ -121,7 +123,7 @@
 
 impl Default for Clients {
     fn default() -> Clients {
-        Clients { again: 0.8, heed: true, burst: 0.0, burst_at_s: 0.0, promise_s: 0.3 }
+        Clients { again: 0.8, heed: true, burst: 0.0, burst_at_s: 0.0, crowd: 0, promise_s: 0.3 }
     }
 }
 
@@ -145,8 +147,10 @@
     Kill,
     /// A dispatcher is started again, with nothing but its folder; a worker boots, cold, and is listed so.
     Start,
-    /// A dispatcher is told to end.
+    /// A dispatcher is told to end, maybe once more; its clients use the connections that they have until it is killed.
     Term,
+    /// A dispatcher is told to read its configuration again, which is as it was.
+    Reload,
     /// A dispatcher is stopped.
     Stop,
     /// A dispatcher goes on.
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -1,5 +1,6 @@
 //! What the stand-ins of a run share: its clock, its scenario, the parties, the links between them, and the ledger.
 
+use crate::fate::Fate;
 use crate::http::Connection;
 use crate::job_id::dispatcher_of;
 use crate::ledger::{Ledger, Seen};
@@ -36,7 +37,8 @@
     /// How often each dispatcher was started; who starts again is a new one to the front.
     pub lives: Vec<AtomicUsize>,
     admitted: Vec<AtomicBool>,
-    ended_by_rig: Vec<AtomicBool>,
+    /// How each dispatcher's lives end.
+    pub fates: Vec<Fate>,
     links: Links,
     ledger: Mutex<Ledger>,
     /// What links draw.
@@ -61,7 +63,7 @@
             calls: places.iter().map(|_| Mutex::default()).collect(),
             lives: places.iter().map(|_| AtomicUsize::new(0)).collect(),
             admitted: places.iter().map(|_| AtomicBool::new(false)).collect(),
-            ended_by_rig: places.iter().map(|_| AtomicBool::new(false)).collect(),
+            fates: places.iter().map(|_| Fate::default()).collect(),
             links: Links(scenario.cuts.clone()),
             ledger: Mutex::default(),
             random: Mutex::new(Rand64::new(u128::from(seed))),
@@ -125,29 +127,24 @@
     pub fn admitted_count(&self) -> usize {
         self.admitted.iter().filter(|a| a.load(Ordering::SeqCst)).count()
     }
-    /// One of those admitted.
+    /// One of those admitted that takes new connections, or to which one is open.
     pub fn admitted(&self, draw: f64) -> Option<usize> {
-        let of: Vec<usize> =
-            (0..self.admitted.len()).filter(|d| self.admitted[*d].load(Ordering::SeqCst)).collect();
+        let now = self.clock.now();
+        let has_open = |d: usize| self.pools[d].lock().is_ok_and(|pool| !pool.is_empty());
+        let reached = |d: &usize| self.fates[*d].takes_new_connections(now) || has_open(*d);
+        let admitted = |d: &usize| self.admitted[*d].load(Ordering::SeqCst);
+        let of: Vec<usize> = (0..self.admitted.len()).filter(|d| admitted(d) && reached(d)).collect();
         of.get((draw * of.len() as f64) as usize).copied()
     }
     /// Admits a dispatcher.
     pub fn admit(&self, dispatcher: usize) {
         self.admitted[dispatcher].store(true, Ordering::SeqCst);
     }
-    /// Notes that the rig ends it: it is not admitted any more.
-    pub fn ends(&self, dispatcher: usize) {
-        self.ended_by_rig[dispatcher].store(true, Ordering::SeqCst);
+    /// Notes that the rig kills it: it is not admitted any more.
+    pub fn kills(&self, dispatcher: usize) {
+        self.fates[dispatcher].killed(self.clock.now());
         self.admitted[dispatcher].store(false, Ordering::SeqCst);
     }
-    /// Notes that it has been started again.
-    pub fn starts(&self, dispatcher: usize) {
-        self.ended_by_rig[dispatcher].store(false, Ordering::SeqCst);
-    }
-    /// Whether the rig has ended it.
-    pub fn killed(&self, dispatcher: usize) -> bool {
-        self.ended_by_rig[dispatcher].load(Ordering::SeqCst)
-    }
     /// A worker tells a job's dispatcher of it, again until it is heard.
     pub fn call_back(&self, number: usize, id: &str, body: &str) {
         let Some(dispatcher) = dispatcher_of(id).filter(|d| *d < self.places.len()) else { return };
--- a/crates/rig/tests/ledger.rs
+++ b/crates/rig/tests/ledger.rs
@@ -46,6 +46,9 @@
 #[case::looked_twice(vec![(SECOND, Seen::Began(0, "d1-2".into()))], None)]
 #[case::after_the_drain(vec![(SECOND, Seen::SentBy(0, 0))], Some("drain"))]
 #[case::by_one_not_told(vec![(SECOND, Seen::SentBy(1, 0))], None)]
+#[case::by_a_new_process(vec![(SECOND, Seen::Started(0)), (2 * SECOND, Seen::SentBy(0, 0))], None)]
+#[case::by_a_new_process_that_was_told(vec![(SECOND, Seen::Started(0)), (SECOND, Seen::Told(0, 0)), (2 * SECOND, Seen::SentBy(0, 0))],
+    Some("drain"))]
 #[case::told_while_stopped(vec![(SECOND, Seen::Resumed(0)), (SECOND + 300 * MS, Seen::SentBy(0, 0))], None)]
 #[case::stopped_and_late(vec![(SECOND, Seen::Resumed(0)), (SECOND + 700 * MS, Seen::SentBy(0, 0))], Some("drain"))]
 #[case::burst((0..4).map(|i| (SECOND + i, Seen::Sent(1, format!("d0-{i}")))).collect(), Some("cold budget"))]
--- a/dispatcher/tests/common/faults/mod.rs
+++ b/dispatcher/tests/common/faults/mod.rs
@@ -19,10 +19,15 @@
         self.0.push((variable, value.to_string()));
         self
     }
+    /// The variables, with the library that heeds them; none where nothing fails.
+    pub fn environment(&self) -> Vec<(String, String)> {
+        let preload = ("LD_PRELOAD", library().display().to_string());
+        let all = self.0.iter().cloned().chain([preload]).filter(|_| !self.0.is_empty());
+        all.map(|(variable, value)| (variable.to_owned(), value)).collect()
+    }
     /// Preloads the library into a command.
     pub fn apply(&self, command: &mut Command) {
-        command.env("LD_PRELOAD", library());
-        command.envs(self.0.iter().map(|(variable, value)| (*variable, value)));
+        command.envs(self.environment());
     }
 }
 
--- a/dispatcher/tests/rig.rs
+++ b/dispatcher/tests/rig.rs
@@ -39,7 +39,8 @@
     // A seed that failed is given back in RIG_SEED.
     let seed = std::env::var("RIG_SEED").ok().and_then(|s| s.parse().ok()).unwrap_or(1);
     let scenario = all().into_iter().find(|s| s.name == name).expect("a scenario of the rig");
-    let options = Options { program: env!("CARGO_BIN_EXE_roselock").into(), seed, progress: false };
+    let program = env!("CARGO_BIN_EXE_roselock").into();
+    let options = Options { program, seed, progress: false, environment: Vec::new() };
     let report = play(scenario, options).unwrap_or_else(|why| panic!("{name}, seed {seed}: {why}"));
     assert!(report.kept(), "{name}, seed {seed}: {:#?}", report);
 }
--- /dev/null
+++ b/dispatcher/tests/soak.rs
@@ -0,0 +1,89 @@
+//! Runs that are drawn from seeds (`roselock_rig::soak`): signals in series, kills at the earliest moment that the page
+//! allows, hanging workers, crowds; on some seeds system calls fail, and clocks are stepped. In CI a few seeds; by hand
+//! `SOAK_FROM=1 SOAK_SEEDS=60 cargo test --release -p roselock-dispatcher --test soak -- --nocapture`.
+
+mod common;
+use common::faults::Faults;
+use roselock_rig::report::Report;
+use roselock_rig::run::{Options, play};
+use roselock_rig::soak::scenario;
+use rstest::rstest;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// Seeds in CI, and how many are played side by side.
+const SEEDS: u64 = 8;
+const SIDE_BY_SIDE: u64 = 4;
+/// How often the clocks of a run are stepped, and by how many seconds.
+const STEP_EVERY: Duration = Duration::from_secs(3);
+const STEPS: [i64; 6] = [0, 3600, -7, -3600, 12, 0];
+
+fn told(variable: &str, otherwise: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
+}
+
+/// What fails on a seed: calls on each second one, clocks on each third.
+fn faults(seed: u64, clock: &Path) -> Faults {
+    let mut faults = Faults::new();
+    if seed.is_multiple_of(2) {
+        let primes = [("FAULT_ACCEPT", 31), ("FAULT_SOCKET", 37), ("FAULT_CONNECT", 41), ("FAULT_RECV", 43)];
+        faults = primes.into_iter().fold(faults, |faults, (call, every)| faults.with(call, every));
+        faults = faults.with("FAULT_SEND", 47).with("FAULT_EPOLL", 53);
+    }
+    if seed.is_multiple_of(3) { faults.with("FAULT_CLOCK", clock.display()) } else { faults }
+}
+
+/// Steps the clocks of a run until it has ended.
+fn step_clocks(clock: PathBuf, ended: std::sync::mpsc::Receiver<()>) {
+    for step in STEPS.iter().cycle() {
+        std::fs::write(&clock, step.to_string()).expect("a file");
+        if ended.recv_timeout(STEP_EVERY) != Err(std::sync::mpsc::RecvTimeoutError::Timeout) {
+            return;
+        }
+    }
+}
+
+fn play_seed(seed: u64) -> Result<Report, String> {
+    let clock = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}-{seed}", std::process::id()));
+    let environment = faults(seed, &clock).environment();
+    let (end, ended) = std::sync::mpsc::channel();
+    let stepping = std::thread::spawn(move || step_clocks(clock, ended));
+    let program = env!("CARGO_BIN_EXE_roselock").into();
+    let report = play(scenario(seed), Options { program, seed, progress: false, environment });
+    drop(end);
+    stepping.join().expect("the clocks");
+    report
+}
+
+/// All rules hold on all seeds.
+#[rstest]
+fn the_rules_hold_on_drawn_runs() {
+    let (from, seeds) = (told("SOAK_FROM", 1), told("SOAK_SEEDS", SEEDS));
+    let next = AtomicU64::new(from);
+    let failed = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|threads| {
+        for _ in 0..told("SOAK_SIDE_BY_SIDE", SIDE_BY_SIDE) {
+            threads.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::SeqCst);
+                    if seed >= from + seeds {
+                        return;
+                    }
+                    let found = match play_seed(seed) {
+                        Ok(report) if report.kept() => {
+                            println!("{}", report.row());
+                            continue;
+                        }
+                        Ok(report) => format!("{} {:?} {:?}", report.row(), report.broken, report.faults),
+                        Err(why) => why,
+                    };
+                    println!("seed {seed}: {found}");
+                    failed.lock().expect("the list").push(format!("seed {seed}: {found}"));
+                }
+            });
+        }
+    });
+    let failed = failed.into_inner().expect("the list");
+    assert!(failed.is_empty(), "SOAK_FROM=seed SOAK_SEEDS=1 plays one again: {failed:#?}");
+}
