--- a/dispatcher/tests/system_calls.rs
+++ b/dispatcher/tests/system_calls.rs
@@ -190,3 +190,24 @@
     assert_eq!(stays.read().expect("an answer").status(), 200);
     assert!(dispatcher.call("METRICS")[0].contains(r#""sends":1,"current":0"#));
 }
+
+/// A process that finds no descriptor for its listener at the start waits for one: it ended, which counts as a crash.
+#[rstest]
+fn a_start_waits_out_a_shortage() {
+    let host = Host::new("s-1");
+    let (discovery, known, settings) =
+        (Discovery::start(), list(7, true, &[host.line("ready")]), settings(0.0, 2.0));
+    let short =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("start-{}", std::process::id()));
+    std::fs::write(&short, "").expect("a file");
+    let faults = Faults::new().with("FAULT_SOCKET", 1).with("FAULT_WHILE", short.display());
+    let over = short.clone();
+    let ends = std::thread::spawn(move || {
+        std::thread::sleep(std::time::Duration::from_millis(500));
+        std::fs::remove_file(over).expect("it was there");
+    });
+    let start = Start { faults: Some(faults), ..Start::new(discovery.at, &settings, &known) };
+    let dispatcher = Dispatcher::launch(start);
+    ends.join().expect("the shortage is over");
+    until_ready(&dispatcher);
+}
