Rig: one worker thread, as the runtime panics with several

A wait with a time-out that is set up on one worker thread is noted on the socket after it was queued on another, which may fire it in between; the next event then finds a handle to a time-out that is gone.

Ruled out: the dispatchers: none had ended, and they run one worker thread, where the wait and its time-out are on one thread.

Change: the rig's runs have one worker thread, too.

--- a/crates/rig/src/run.rs
+++ b/crates/rig/src/run.rs
@@ -59,7 +59,9 @@
     /// Sets up the stand-ins; no process yet.
     pub fn new(scenario: Scenario, options: Options) -> std::io::Result<Run> {
         raise_limits();
-        may::config().set_stack_size(STACK);
+        // One worker thread: of several, one may fire the time-out of a wait that another is still setting up, and panics
+        // then ("Node value is None" and others, may 0.3.51), which takes the stand-ins of all runs along.
+        may::config().set_workers(1).set_stack_size(STACK);
         let folder = tempfile::tempdir()?;
         let (n, workers) = (scenario.processes, scenario.workers_n);
         let (port, admin) = (free_port()?, free_port()?);
