--- a/dispatcher/src/core/event_loop/decisions.rs
+++ b/dispatcher/src/core/event_loop/decisions.rs
@@ -112,6 +112,14 @@
             stream.last_upstream = address;
         }
         self.deadlines.add(deadline, Deadline::Attempt(id));
+        self.log_attempt(host, stream_id, attempt);
+    }
+
+    /// Logs an attempt that has been started or queued.
+    fn log_attempt(&self, host: HostId, stream_id: StreamId, attempt: u32) {
+        let Some(stream) = self.streams.get(stream_id) else { return };
+        let worker = self.fleets.host(host).map_or("?", |host| &host.uid);
+        tracing::debug!(id = stream.payload.id(), worker, attempt, "attempt started");
     }
 
     /// Reports to the decision logic that an attempt could not be sent.
--- a/dispatcher/src/core/event_loop/inputs.rs
+++ b/dispatcher/src/core/event_loop/inputs.rs
@@ -63,6 +63,7 @@
             && let Some(relay) = &self.relay
             && let Some(body) = body
         {
+            tracing::debug!(id = job_id, from, "forwarding a callback: its stream is unknown here");
             return relay.forward(body);
         }
         self.handle_callback(job_id, from, event, report);
--- a/dispatcher/src/core/event_loop/upstream_events.rs
+++ b/dispatcher/src/core/event_loop/upstream_events.rs
@@ -173,6 +173,11 @@
         };
         let Some(request) = self.upstreams.get(id) else { return };
         if self.fleets.host(request.host).is_none_or(|host| host.uid != from) {
+            tracing::debug!(
+                id = job_id,
+                from,
+                "ignoring a callback: the attempt in flight is at another host"
+            );
             return;
         }
         match event {
