--- a/dispatcher/src/core/event_loop.rs
+++ b/dispatcher/src/core/event_loop.rs
@@ -23,6 +23,7 @@
 
 pub use admin_state::AdminState;
 
+use super::id_claims::IdClaims;
 use super::{CallbackRelay, Dialer, FleetId, FlowSink, Inbox, Input, JobSource, ListedHost, clock};
 use deadlines::Deadlines;
 use dial_queue::DialQueues;
@@ -114,6 +115,11 @@
         self.relay = Some(relay);
     }
 
+    /// Shares the ids of clients' requests with the other process of an upgrade.
+    pub fn set_id_claims(&mut self, claims: IdClaims) {
+        self.streams.set_id_claims(claims);
+    }
+
     /// Adds a source of jobs that are queued outside the event loop.
     pub fn add_job_source(&mut self, source: Box<dyn JobSource>) {
         self.job_sources.push(source);
--- a/dispatcher/src/core/event_loop/decisions.rs
+++ b/dispatcher/src/core/event_loop/decisions.rs
@@ -96,6 +96,10 @@
         let Some(stream) = self.streams.get_mut(stream_id) else { return };
         let attempt = stream.attempts;
         stream.attempts += 1;
+        if !self.streams.begin_attempt(stream_id) {
+            return self.end_unclaimed(host.fleet, stream_id, attempt);
+        }
+        let Some(stream) = self.streams.get(stream_id) else { return };
         let deadline = if timeout > 0 { stream.deadline.min(now + timeout) } else { stream.deadline };
         let may_be_sent = deadline > now && may_attempt(stream, attempt, now, max_attempts);
         let connection_use = connection_use(settings, Some(stream.class.0 as usize));
@@ -122,9 +126,22 @@
         tracing::debug!(id = stream.payload.id(), worker, attempt, "attempt started");
     }
 
+    /// Ends a stream whose id another process has taken over.
+    fn end_unclaimed(&mut self, fleet: FleetId, stream_id: StreamId, attempt: u32) {
+        if let Some(stream) = self.streams.get(stream_id) {
+            tracing::warn!(id = stream.payload.id(), "attempt not made: the claim on its id is lost");
+        }
+        self.answer(stream_id, Answer::Conflict);
+        self.push_not_started(fleet, stream_id, attempt, true);
+    }
+
     /// Reports to the decision logic that an attempt could not be sent.
     fn report_not_started(&mut self, fleet: FleetId, stream_id: StreamId, attempt: u32) {
         let concluded = self.streams.get(stream_id).is_some_and(|stream| stream.answered);
+        self.push_not_started(fleet, stream_id, attempt, concluded);
+    }
+
+    fn push_not_started(&mut self, fleet: FleetId, stream_id: StreamId, attempt: u32, concluded: bool) {
         self.fleets[fleet].events.push(Event::AttemptEnded {
             job: JobId(stream_id),
             attempt,
--- a/dispatcher/src/core/event_loop/stream_table.rs
+++ b/dispatcher/src/core/event_loop/stream_table.rs
@@ -1,6 +1,7 @@
 //! The table of streams that have not ended, by number and by job id.
 
 use super::recent_job_ids::RecentJobIds;
+use crate::core::id_claims::{ClaimError, IdClaims};
 use crate::core::{Answer, Downstream, FleetId, NewStream, Payload, StreamId, UpstreamId, clock};
 use roselock::{ClassId, Micros, Outcome};
 use std::collections::HashMap;
@@ -86,9 +87,41 @@
     pub(super) by_id: HashMap<StreamId, Stream>,
     by_job_id: HashMap<String, StreamId>,
     recent_job_ids: RecentJobIds,
+    /// The ids that are shared with the other process of an upgrade, if there can be one.
+    claims: Option<IdClaims>,
 }
 
 impl StreamTable {
+    /// Shares the ids of clients' requests with the other process of an upgrade.
+    pub(super) fn set_id_claims(&mut self, claims: IdClaims) {
+        self.claims = Some(claims);
+    }
+    /// Claims the id of a client's request that may take `time_left`, so that the other process of an upgrade rejects
+    /// it. An id that a front end has assigned is known to this process only.
+    pub(super) fn claim(&self, payload: &Payload, time_left: Micros) -> Result<(), ClaimError> {
+        match self.claims_of(payload) {
+            Some(claims) => claims.claim(payload.id(), time_left),
+            None => Ok(()),
+        }
+    }
+    /// Records that an attempt of a stream is made. Returns false if its claim is lost, so that the attempt must not be
+    /// made.
+    #[must_use]
+    pub(super) fn begin_attempt(&self, id: StreamId) -> bool {
+        let Some(stream) = self.by_id.get(&id) else { return false };
+        let claims = self.claims_of(&stream.payload);
+        claims.is_none_or(|claims| claims.begin_attempt(stream.payload.id()))
+    }
+    /// Releases the claimed id of a stream that is about to be answered, if no attempt of it was made.
+    pub(super) fn release_unsent(&self, id: StreamId) {
+        let Some(stream) = self.get_unanswered(id).filter(|stream| stream.attempts == 0) else { return };
+        if let Some(claims) = self.claims_of(&stream.payload) {
+            claims.end(stream.payload.id(), false);
+        }
+    }
+    fn claims_of(&self, payload: &Payload) -> Option<&IdClaims> {
+        self.claims.as_ref().filter(|_| payload.assigned_id.is_none())
+    }
     pub(super) fn insert(&mut self, id: StreamId, job_id: String, stream: Stream) {
         self.by_job_id.insert(job_id, id);
         self.by_id.insert(id, stream);
@@ -128,6 +161,9 @@
         }
         let job_id = stream.payload.id();
         self.by_job_id.remove(job_id);
+        if let Some(claims) = self.claims_of(&stream.payload) {
+            claims.end(job_id, stream.attempts > 0);
+        }
         if stream.attempts > 0 {
             self.recent_job_ids.insert(job_id, clock::now());
         }
--- a/dispatcher/src/core/event_loop/streams.rs
+++ b/dispatcher/src/core/event_loop/streams.rs
@@ -4,6 +4,7 @@
 use super::admin_state::job_result;
 use super::deadlines::Deadline;
 use super::stream_table::{DisconnectedClient, Stream};
+use crate::core::id_claims::ClaimError;
 use crate::core::{Answer, FleetId, Flow, NewStream, StreamId, StreamOutcome, clock};
 use roselock::{ClassId, Event, Idempotency, JobId, JobRequest, Micros};
 
@@ -33,6 +34,9 @@
         if new.deadline <= now {
             return self.reject(new, Answer::Failed);
         }
+        if let Err(error) = self.streams.claim(&new.payload, new.deadline - now) {
+            return self.reject_unclaimed(new, error);
+        }
         self.admin.metrics.job_admitted();
         self.fleets[new.fleet].events.push(Event::JobArrived(job_request(&new, now)));
         self.deadlines.add(new.deadline + ANSWER_GRACE, Deadline::Stream(new.id));
@@ -64,8 +68,25 @@
         new.downstream.answer(answer, new.prior_attempts);
     }
 
+    /// Answers a stream whose id could not be claimed. It has not run.
+    fn reject_unclaimed(&self, new: NewStream, error: ClaimError) {
+        let id = new.payload.id();
+        match error {
+            ClaimError::InUse => {
+                tracing::debug!(id, "request rejected: its id is in use at another process, or was recently");
+                self.reject(new, Answer::Conflict);
+            }
+            ClaimError::Full => {
+                tracing::warn!(id, "request rejected: the table of claimed ids is full");
+                self.reject(new, Answer::Rejected(roselock::SECOND));
+            }
+        }
+    }
+
     /// Sends the final answer of a stream, unless it is answered already.
     pub(super) fn answer(&mut self, id: StreamId, answer: Answer) {
+        // Before the answer: its client may send the request again at once, to the other process of an upgrade.
+        self.streams.release_unsent(id);
         let Some(stream) = self.streams.get_unanswered_mut(id) else { return };
         stream.answered = true;
         // An attempt in flight may run, too.
--- a/dispatcher/src/core/mod.rs
+++ b/dispatcher/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 pub mod downstream;
 pub mod event_loop;
+pub mod id_claims;
 pub mod inbox;
 pub mod messages;
 pub mod pool;
--- a/dispatcher/src/lifecycle/mod.rs
+++ b/dispatcher/src/lifecycle/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod error_chain;
+pub mod id_claim_store;
 pub mod inherit;
 pub mod listen;
 pub mod load_error;
@@ -11,6 +12,7 @@
 pub mod reload;
 pub mod serve;
 pub mod settings_error;
+pub mod shared_words;
 pub mod signals;
 pub mod start_error;
 pub mod startup;
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -5,7 +5,8 @@
 use super::reload::ReloadHandles;
 use super::start_error::StartError;
 use super::startup::Startup;
-use super::{log, relay, signals};
+use super::{id_claim_store, log, relay, signals};
+use crate::core::event_loop::Core;
 use crate::core::{Inbox, clock};
 use crate::wire::connection_limiter::ConnectionLimiter;
 use crate::wire::discovery::DiscoveryHandle;
@@ -50,6 +51,7 @@
     startup.start_admin()?;
     suspension_store.spawn_sync(inbox.clone());
     if http.front.inherited {
+        share_request_ids(&mut core, &config);
         core.set_relay(relay::start(&config.name, http.front.site.clone(), inbox.clone()));
     }
 
@@ -65,6 +67,17 @@
     Ok(())
 }
 
+/// Shares the ids of clients' requests with the other process of an upgrade, which accepts on the same listener.
+fn share_request_ids(core: &mut Core, config: &Config) {
+    match id_claim_store::open(&config.name, config.listen, config.seed) {
+        Ok(claims) => core.set_id_claims(claims),
+        Err(error) => {
+            let reason = ErrorChain(&error);
+            tracing::warn!(name = %config.name, %reason, "request ids are not shared with other processes");
+        }
+    }
+}
+
 /// Runs coroutines on one thread: the process has one core, which the event loop shares.
 fn configure_coroutines() {
     may::config()
