--- a/dispatcher/src/core/event_loop/endpoint_list.rs
+++ b/dispatcher/src/core/event_loop/endpoint_list.rs
@@ -115,12 +115,13 @@
     /// Applies the endpoint list to the hosts, and passes it to the decision logic.
     fn apply_list(&mut self, mode: ListMode, hosts: Vec<ListedHost>) {
         if mode.is_complete() {
-            self.mark_unlisted_hosts_gone(&hosts);
+            self.mark_unlisted_hosts_gone(&hosts, mode);
         }
         let mut endpoints = Vec::with_capacity(hosts.len());
         for listed in hosts {
             endpoints.push(listed.endpoint.clone());
             let host = self.hosts.entry(listed.endpoint.worker).or_insert_with(|| Host::new(&listed));
+            log_state_change(host, listed.endpoint.state, mode);
             host.update(listed);
         }
         let gone = self.hosts.values().filter(|host| host.is_gone()).count();
@@ -130,12 +131,21 @@
         self.events.push(Event::EndpointList { mode, endpoints });
     }
 
-    fn mark_unlisted_hosts_gone(&mut self, listed: &[ListedHost]) {
+    fn mark_unlisted_hosts_gone(&mut self, listed: &[ListedHost], mode: ListMode) {
         for (worker, host) in &mut self.hosts {
             if !listed.iter().any(|entry| entry.endpoint.worker == *worker) {
+                log_state_change(host, EndpointState::Gone, mode);
                 host.entry.state = EndpointState::Gone;
                 host.pool.clear();
             }
         }
     }
 }
+
+/// Logs that a list changes the state of a host.
+fn log_state_change(host: &Host, state: EndpointState, mode: ListMode) {
+    let previous = host.entry.state;
+    if previous != state {
+        tracing::debug!(worker = host.uid, ?previous, ?state, ?mode, "listed state of a worker changed");
+    }
+}
--- a/dispatcher/src/core/event_loop/suspended_workers.rs
+++ b/dispatcher/src/core/event_loop/suspended_workers.rs
@@ -20,6 +20,9 @@
             return;
         };
         let suspended = change.suspended;
+        for worker in suspended.symmetric_difference(&self.suspensions.workers) {
+            self.log_suspension(*worker, suspended.contains(worker));
+        }
         for fleet in self.fleets.iter_mut() {
             for worker in suspended.difference(&self.suspensions.workers) {
                 fleet.events.push(Event::SuspensionChanged { worker: *worker, suspended: true });
@@ -36,4 +39,13 @@
         self.metrics_published_at = 0;
         self.admin.suspensions.mark_applied(change.generation);
     }
+
+    /// Logs that a worker is suspended or restored, with its listed state in each fleet.
+    fn log_suspension(&self, worker: WorkerId, suspended: bool) {
+        let hosts = self.fleets.iter().filter_map(|fleet| fleet.hosts.get(&worker));
+        for host in hosts {
+            let state = host.entry.state;
+            tracing::info!(worker = host.uid, suspended, listed_state = ?state, "suspension of a worker changed");
+        }
+    }
 }
