--- a/src/decisions/endpoint_list.rs
+++ b/src/decisions/endpoint_list.rs
@@ -17,7 +17,7 @@
         if from_discovery && self.discovery.record_answer(self.now) {
             self.lift_initial_ejections();
         }
-        self.apply_list(mode, endpoints, out);
+        self.update_workers(mode, endpoints, out);
         self.discovery.synchronized |= from_discovery;
     }
 
@@ -41,37 +41,25 @@
         out.push(Action::Timer { delay, token: POLL_TOKEN });
     }
 
-    /// Applies a list in which suspended workers count as draining.
-    fn apply_list(&mut self, mode: ListMode, endpoints: &[Endpoint], out: &mut Vec<Action>) {
-        if self.discovery.suspended.is_empty() {
-            return self.update_workers(mode, endpoints, out);
-        }
-        let applied = self.discovery.apply_suspensions(endpoints);
-        self.update_workers(mode, &applied, out);
-    }
-
-    /// Suspends a worker on an operator's request. Idempotent.
+    /// Suspends a worker on an operator's request: it counts as draining, whatever its listed state. Idempotent.
     pub(crate) fn suspend(&mut self, worker: WorkerId, out: &mut Vec<Action>) {
-        if self.discovery.suspended.contains_key(&worker) {
-            return;
-        }
-        let listed = self.listed_endpoint(worker);
-        self.discovery.suspended.insert(worker, listed.as_ref().map(|endpoint| endpoint.state));
-        if let Some(endpoint) = listed {
-            self.apply_list(ListMode::Changes, &[endpoint], out);
+        if self.discovery.suspended.insert(worker) {
+            self.reapply_entry(worker, out);
         }
     }
 
-    /// Ends a suspension: the worker returns to its last listed state. Idempotent.
+    /// Ends a suspension: the listed state of the worker counts again. Idempotent.
     pub(crate) fn restore(&mut self, worker: WorkerId, out: &mut Vec<Action>) {
-        let Some(Some(state)) = self.discovery.suspended.remove(&worker) else { return };
-        let Some(endpoint) = self.listed_endpoint(worker) else { return };
-        self.update_workers(ListMode::Changes, &[Endpoint { state, ..endpoint }], out);
+        if self.discovery.suspended.remove(&worker) {
+            self.reapply_entry(worker, out);
+        }
     }
 
-    fn listed_endpoint(&self, worker: WorkerId) -> Option<Endpoint> {
-        let index = *self.worker_index.get(&worker)?;
-        Some(self.workers[index].endpoint.clone())
+    /// Applies the entry of a worker once more, after a change of its suspension.
+    fn reapply_entry(&mut self, worker: WorkerId, out: &mut Vec<Action>) {
+        let Some(&index) = self.worker_index.get(&worker) else { return };
+        let entry = self.workers[index].endpoint.clone();
+        self.update_workers(ListMode::Changes, &[entry], out);
     }
 
     /// Updates the workers from a list. Rule 7: idle connections to a draining worker are closed at once,
@@ -107,8 +95,8 @@
     /// Applies a list entry of a known process. Returns whether the order has to be rebuilt.
     fn update_worker(&mut self, index: usize, endpoint: &Endpoint) -> bool {
         let mean_run_time = if self.settings.units_fall_with_load { self.mean_run_time() } else { 0.0 };
+        let ready = self.discovery.is_ready(endpoint);
         let worker = &mut self.workers[index];
-        let ready = endpoint.state == EndpointState::Ready;
         let order_changed = ready != worker.ready || endpoint.zone != worker.endpoint.zone;
         if order_changed {
             worker.ready = ready;
@@ -127,7 +115,8 @@
     /// Adds a worker, or replaces a `known` one whose process is new. Estimates and bookings of the old
     /// process are discarded; the recent sends to it still count.
     fn add_worker(&mut self, known: Option<usize>, endpoint: &Endpoint, initial: InitialEstimates) {
-        let mut worker = Worker::new(endpoint, initial, self.now);
+        let ready = self.discovery.is_ready(endpoint);
+        let mut worker = Worker::new(endpoint, ready, initial, self.now);
         // A changed start time means a restart, whatever its value. A worker first listed without a start
         // time has been up for long.
         let has_started = known.is_some() || endpoint.started_at.is_some();
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -183,7 +183,7 @@
     /// error.
     #[must_use]
     pub fn is_avoided(&self, worker: WorkerId) -> bool {
-        if self.discovery.suspended.contains_key(&worker) {
+        if self.discovery.suspended.contains(&worker) {
             return true;
         }
         let Some(&index) = self.worker_index.get(&worker) else { return false };
--- a/src/state/discovery.rs
+++ b/src/state/discovery.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use roselock_discovery_client::lease::ListLease;
 use roselock_discovery_client::poll_schedule::PollSchedule;
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// What is known about the discovery service and its endpoint list.
 pub(crate) struct DiscoveryState {
@@ -16,8 +16,8 @@
     /// The list is a cached one that the discovery service has not confirmed yet, so it must be used with
     /// care.
     pub(crate) unconfirmed: bool,
-    /// The workers suspended by an operator, each with its last listed state, if it was listed.
-    pub(crate) suspended: BTreeMap<WorkerId, Option<EndpointState>>,
+    /// The workers suspended by an operator. Their listed state is that of their entries.
+    pub(crate) suspended: BTreeSet<WorkerId>,
 }
 
 /// The lease on the list before the first answer of the discovery service.
@@ -40,7 +40,7 @@
             synchronized: false,
             // Without polls the list would never be confirmed.
             unconfirmed: settings.list_unconfirmed && settings.watch_required,
-            suspended: BTreeMap::new(),
+            suspended: BTreeSet::new(),
         }
     }
 
@@ -66,17 +66,8 @@
         Some(confirmed.unwrap_or(now))
     }
 
-    /// Returns the entries of a list with suspended workers marked as draining, and keeps their listed state
-    /// for when they are restored.
-    pub(crate) fn apply_suspensions(&mut self, endpoints: &[Endpoint]) -> Vec<Endpoint> {
-        let mut applied = endpoints.to_vec();
-        for endpoint in &mut applied {
-            let Some(listed_state) = self.suspended.get_mut(&endpoint.worker) else { continue };
-            *listed_state = Some(endpoint.state);
-            if endpoint.state == EndpointState::Ready {
-                endpoint.state = EndpointState::Draining;
-            }
-        }
-        applied
+    /// Whether a worker with this entry may be sent jobs: it is listed as ready, and not suspended.
+    pub(crate) fn is_ready(&self, endpoint: &Endpoint) -> bool {
+        endpoint.state == EndpointState::Ready && !self.suspended.contains(&endpoint.worker)
     }
 }
--- a/src/state/workers.rs
+++ b/src/state/workers.rs
@@ -150,10 +150,12 @@
 /// large fleet, and with many dispatchers on a machine their state does not fit into its caches.
 #[repr(C)]
 pub(crate) struct Worker {
-    /// Its entry in the endpoint list.
+    /// Its entry in the endpoint list; its state is the listed one, also while it is suspended.
     pub(crate) endpoint: Endpoint,
     /// When its process started, on this dispatcher's clock; `None` means long ago.
     pub(crate) started_at: Option<Micros>,
+    /// Whether it may be sent jobs, as [`DiscoveryState::is_ready`](super::discovery::DiscoveryState::is_ready)
+    /// says of its entry.
     pub(crate) ready: bool,
     /// Largest `units` listed so far.
     pub(crate) max_units: f64,
@@ -184,11 +186,11 @@
 }
 
 impl Worker {
-    pub(crate) fn new(endpoint: &Endpoint, initial: InitialEstimates, now: Micros) -> Worker {
+    pub(crate) fn new(endpoint: &Endpoint, ready: bool, initial: InitialEstimates, now: Micros) -> Worker {
         Worker {
             endpoint: endpoint.clone(),
             started_at: endpoint.started_at.map(|started_at| started_at.min(now)),
-            ready: endpoint.state == EndpointState::Ready,
+            ready,
             max_units: endpoint.units,
             bookings: Bookings::default(),
             capacity: initial.capacity.map(|capacity| CapacityEstimate::new(capacity, now)),
