--- a/src/decisions/endpoint_list.rs
+++ b/src/decisions/endpoint_list.rs
@@ -69,7 +69,10 @@
         if mode.is_complete() {
             let listed: BTreeSet<WorkerId> = endpoints.iter().map(|endpoint| endpoint.worker).collect();
             for worker in &mut self.workers {
-                worker.ready &= listed.contains(&worker.endpoint.worker);
+                if !listed.contains(&worker.endpoint.worker) {
+                    worker.endpoint.state = EndpointState::Gone;
+                    worker.ready = false;
+                }
             }
         }
         let mut initial = None;
--- a/tests/suspension.rs
+++ b/tests/suspension.rs
@@ -4,6 +4,7 @@
 use common::driver::{Driver, InFlightAttempt};
 use common::*;
 use roselock::*;
+use rstest::rstest;
 
 fn suspension_changed(worker: u64, suspended: bool) -> Event {
     Event::SuspensionChanged { worker: WorkerId(worker), suspended }
@@ -55,6 +56,114 @@
     assert!(run_jobs_in_rounds(&mut driver, 100, 40).contains(&2));
 }
 
+/// How the endpoint list takes a worker out of use.
+#[derive(Clone, Copy, Debug)]
+enum Removal {
+    AbsentFromCompleteList,
+    AbsentFromCachedList,
+    GoneInChanges,
+    DrainingInChanges,
+    DrainingInCompleteList,
+}
+
+impl Removal {
+    /// The list that takes worker 1 of three out of use.
+    fn list(self) -> Event {
+        let others = || vec![ready(0), ready(2)];
+        let cached = |endpoints| Event::EndpointList { mode: ListMode::Cached, endpoints };
+        let with = |state| [others(), vec![endpoint(1, state, None)]].concat();
+        match self {
+            Removal::AbsentFromCompleteList => complete_list(others()),
+            Removal::AbsentFromCachedList => cached(others()),
+            Removal::GoneInChanges => list_changes(vec![endpoint(1, EndpointState::Gone, None)]),
+            Removal::DrainingInChanges => list_changes(vec![endpoint(1, EndpointState::Draining, None)]),
+            Removal::DrainingInCompleteList => complete_list(with(EndpointState::Draining)),
+        }
+    }
+}
+
+/// How the endpoint list puts a worker back into use.
+#[derive(Clone, Copy, Debug)]
+enum Return {
+    ReadyInChanges,
+    ReadyInCompleteList,
+    Restarted,
+}
+
+impl Return {
+    /// The list that has worker 1 of three as ready.
+    fn list(self, now: Micros) -> Event {
+        match self {
+            Return::ReadyInChanges => list_changes(vec![ready(1)]),
+            Return::ReadyInCompleteList => complete_list(vec![ready(0), ready(1), ready(2)]),
+            Return::Restarted => list_changes(vec![endpoint(1, EndpointState::Ready, Some(now))]),
+        }
+    }
+}
+
+/// Which calls of an operator precede the removal of a worker, and which follow it.
+#[derive(Clone, Copy, Debug)]
+enum Calls {
+    SuspendThenRestoreAfter,
+    BothBefore,
+    BothAfter,
+    BothBeforeAndBothAfter,
+}
+
+impl Calls {
+    /// For each call whether it suspends the worker: those before the removal, and those after it.
+    fn before_and_after(self) -> (&'static [bool], &'static [bool]) {
+        match self {
+            Calls::SuspendThenRestoreAfter => (&[true], &[false]),
+            Calls::BothBefore => (&[true, false], &[]),
+            Calls::BothAfter => (&[], &[true, false]),
+            Calls::BothBeforeAndBothAfter => (&[true, false], &[true, false]),
+        }
+    }
+}
+
+/// Guards against requests to a worker that discovery has removed (review/3): `RESTORE` put a worker that was absent
+/// from a complete list back into use. Only the endpoint list does that.
+#[rstest]
+fn a_removed_worker_is_sent_no_jobs_until_it_is_listed_again_whatever_an_operator_calls(
+    #[values(
+        Removal::AbsentFromCompleteList,
+        Removal::AbsentFromCachedList,
+        Removal::GoneInChanges,
+        Removal::DrainingInChanges,
+        Removal::DrainingInCompleteList
+    )]
+    removal: Removal,
+    #[values(
+        Calls::SuspendThenRestoreAfter,
+        Calls::BothBefore,
+        Calls::BothAfter,
+        Calls::BothBeforeAndBothAfter
+    )]
+    calls: Calls,
+    #[values(Return::ReadyInChanges, Return::ReadyInCompleteList, Return::Restarted)] comes_back: Return,
+) {
+    let mut driver = Driver::with_workers(settings(), 3);
+    assert!(run_jobs_in_rounds(&mut driver, 0, 30).contains(&1), "not used before its removal");
+    let (before, after) = calls.before_and_after();
+    let call = |driver: &mut Driver, suspended: &bool| driver.feed(&[suspension_changed(1, *suspended)]);
+    for suspended in before {
+        call(&mut driver, suspended);
+    }
+    driver.feed(&[removal.list()]);
+    assert!(!run_jobs_in_rounds(&mut driver, 100, 10).contains(&1), "sent to after its removal");
+    for (suspended, first_job) in after.iter().zip([150, 200]) {
+        call(&mut driver, suspended);
+        assert!(!run_jobs_in_rounds(&mut driver, first_job, 10).contains(&1), "sent to after a call");
+    }
+    // While it is suspended, it does not come back into use by the list alone.
+    call(&mut driver, &true);
+    driver.feed(&[comes_back.list(driver.now)]);
+    assert!(!run_jobs_in_rounds(&mut driver, 300, 10).contains(&1), "sent to while suspended");
+    call(&mut driver, &false);
+    assert!(run_jobs_in_rounds(&mut driver, 400, 15).contains(&1), "not used after it was listed again");
+}
+
 /// Guards against a poll schedule that treats the time of a suspension as the time of an answer from the
 /// discovery service.
 #[test]
