--- a/dispatcher/src/core/suspensions.rs
+++ b/dispatcher/src/core/suspensions.rs
@@ -7,7 +7,7 @@
 use parking_lot::{Condvar, Mutex};
 use roselock::WorkerId;
 use roselock::settings::fnv1a;
-use std::collections::{BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
@@ -17,14 +17,11 @@
 /// The suspended workers, and which of the changes have been applied by the event loop and saved to the file.
 #[derive(Default)]
 pub struct Suspensions {
-    workers: Mutex<SuspendedWorkers>,
+    state: Mutex<State>,
     /// The generation of the latest change in this process.
     generation: AtomicU64,
     /// The generation of the latest change that the event loop has applied.
     applied: AtomicU64,
-    /// The sequence number of the latest change in the file. Sequence numbers are common to both processes of an
-    /// upgrade.
-    saved: AtomicU64,
     /// Why the file could not be written, if the latest write failed.
     save_failure: Mutex<Option<String>>,
     /// Wakes the thread that writes the file.
@@ -33,16 +30,47 @@
     listed: Mutex<HashSet<String>>,
 }
 
-/// The suspended workers, with the sequence number of the latest change. Between processes the set with the greater
-/// number takes precedence.
+/// The suspended workers, and the changes among them that the file does not hold.
+#[derive(Default)]
+struct State {
+    /// The set in the file, with the unsaved changes applied.
+    workers: SuspendedWorkers,
+    unsaved: UnsavedChanges,
+}
+
+/// Changes that this process has made and the file does not hold: for each worker whether it is suspended now.
+pub type UnsavedChanges = BTreeMap<String, bool>;
+
+/// The suspended workers, with the sequence number of the file that holds them. Each write of the file, by either
+/// process of an upgrade, has a greater number than the one before.
 #[derive(Clone, Default, Debug, PartialEq, Eq)]
 pub struct SuspendedWorkers {
     /// Their ids.
     pub ids: BTreeSet<String>,
-    /// The sequence number of the latest change.
+    /// The sequence number of the file.
     pub sequence: u64,
 }
 
+impl SuspendedWorkers {
+    /// The next set to write: this one with these changes.
+    #[must_use]
+    pub fn with_changes(mut self, changes: &UnsavedChanges) -> SuspendedWorkers {
+        self.sequence += 1;
+        self.apply(changes);
+        self
+    }
+
+    fn apply(&mut self, changes: &UnsavedChanges) {
+        for (id, suspended) in changes {
+            if *suspended {
+                self.ids.insert(id.clone());
+            } else {
+                self.ids.remove(id);
+            }
+        }
+    }
+}
+
 /// The result of [`Suspensions::set`].
 #[derive(Debug, PartialEq, Eq)]
 pub enum SetResult {
@@ -94,7 +122,8 @@
         if !self.listed.lock().contains(id) {
             return Err(SuspensionError::NeverListed);
         }
-        let mut workers = self.workers.lock();
+        let mut state = self.state.lock();
+        let State { workers, unsaved } = &mut *state;
         if suspended && !workers.ids.contains(id) && workers.ids.len() >= MAX_SUSPENDED {
             return Err(SuspensionError::TooMany);
         }
@@ -102,20 +131,24 @@
         if !changed {
             return Ok(SetResult::Unchanged);
         }
-        workers.sequence += 1;
+        unsaved.insert(id.to_owned(), suspended);
         self.changed.notify_all();
         let previous_generation = self.generation.fetch_add(1, Ordering::SeqCst);
         Ok(SetResult::Changed(previous_generation + 1))
     }
-    /// Adopts the set that another process has written, if it is newer. Returns whether that changed the set.
-    pub fn adopt(&self, other: SuspendedWorkers) -> bool {
-        let mut workers = self.workers.lock();
-        if other.sequence <= workers.sequence {
+    /// Adopts the set in the file, if it is newer than the one that was adopted last. Changes of this process that the
+    /// file does not hold stay in force. Returns whether that changed the set.
+    pub fn adopt(&self, file: SuspendedWorkers) -> bool {
+        self.adopt_into(&mut self.state.lock(), file)
+    }
+    fn adopt_into(&self, state: &mut State, mut file: SuspendedWorkers) -> bool {
+        if file.sequence <= state.workers.sequence {
             return false;
         }
-        self.record_listed(other.ids.iter().map(String::as_str));
-        let changed = other.ids != workers.ids;
-        *workers = other;
+        self.record_listed(file.ids.iter().map(String::as_str));
+        file.apply(&state.unsaved);
+        let changed = file.ids != state.workers.ids;
+        state.workers = file;
         if changed {
             self.generation.fetch_add(1, Ordering::SeqCst);
         }
@@ -123,7 +156,7 @@
     }
     /// The suspended workers.
     pub fn workers(&self) -> SuspendedWorkers {
-        self.workers.lock().clone()
+        self.state.lock().workers.clone()
     }
     /// Records ids from the endpoint list, up to [`MAX_SUSPENDED`].
     pub fn record_listed<'a>(&self, ids: impl Iterator<Item = &'a str>) {
@@ -145,17 +178,20 @@
     pub fn applied(&self) -> u64 {
         self.applied.load(Ordering::SeqCst)
     }
-    /// Blocks the thread until there is a change after sequence number `written`, at most for `timeout`. Returns the
-    /// set.
-    pub fn wait_for_change(&self, written: u64, timeout: Duration) -> SuspendedWorkers {
-        let mut workers = self.workers.lock();
-        self.changed.wait_while_for(&mut workers, |workers| workers.sequence <= written, timeout);
-        workers.clone()
+    /// Blocks the thread until there are unsaved changes, at most for `timeout`. Returns them.
+    pub fn wait_for_unsaved(&self, timeout: Duration) -> UnsavedChanges {
+        let mut state = self.state.lock();
+        self.changed.wait_while_for(&mut state, |state| state.unsaved.is_empty(), timeout);
+        state.unsaved.clone()
     }
-    /// Records that the file holds the changes up to this sequence number.
-    pub fn mark_saved(&self, sequence: u64) {
+    /// Records that the file has been written with these changes, and adopts what it holds now. Returns whether that
+    /// changed the set.
+    pub fn mark_saved(&self, changes: &UnsavedChanges, written: SuspendedWorkers) -> bool {
         *self.save_failure.lock() = None;
-        self.saved.fetch_max(sequence, Ordering::SeqCst);
+        let mut state = self.state.lock();
+        // A worker that has been changed back meanwhile is still unsaved.
+        state.unsaved.retain(|id, suspended| changes.get(id) != Some(suspended));
+        self.adopt_into(&mut state, written)
     }
     /// Records why the file could not be written.
     pub fn record_save_failure(&self, reason: String) {
@@ -167,8 +203,7 @@
     ///
     /// If it does not, with the reason.
     pub fn saved(&self) -> Result<(), UnsavedError> {
-        let latest = self.workers.lock().sequence;
-        if self.saved.load(Ordering::SeqCst) >= latest {
+        if self.state.lock().unsaved.is_empty() {
             return Ok(());
         }
         match &*self.save_failure.lock() {
@@ -182,7 +217,8 @@
         if generation == seen {
             return None;
         }
-        let suspended = self.workers.lock().ids.iter().map(|id| WorkerId(fnv1a(id.as_bytes()))).collect();
+        let ids = self.state.lock().workers.ids.clone();
+        let suspended = ids.iter().map(|id| WorkerId(fnv1a(id.as_bytes()))).collect();
         Some(SuspensionChange { generation, suspended })
     }
     /// Records that the event loop has passed the changes up to this generation on to the decision logic.
--- a/dispatcher/src/lifecycle/suspension_store.rs
+++ b/dispatcher/src/lifecycle/suspension_store.rs
@@ -1,20 +1,25 @@
 //! Passes the suspended workers from one process to the next through a file in `$TMPDIR`, the only storage
 //! that persists, and only across an upgrade. A background thread writes the file when they change, and reads
 //! it when another process has written it, so that suspending or restoring a worker at one of two concurrent
-//! processes applies to both.
+//! processes applies to both. A write adds the changes of this process to what the file holds, under a lock.
 
 use crate::core::Inbox;
-use crate::core::suspensions::{SuspendedWorkers, Suspensions};
+use crate::core::suspensions::{MAX_SUSPENDED, SuspendedWorkers, Suspensions, UnsavedChanges};
 use roselock_admin::suspension_file::SuspensionFile;
+use rustix::fs::{FlockOperation, flock};
 use std::fs::File;
 use std::io::{self, Write};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Interval between checks of the file.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// How long a write waits for the lock, which the other process of an upgrade holds while it writes.
+const LOCK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Interval between attempts to take the lock.
+const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Synchronizes the suspended workers with the file.
 pub struct SuspensionStore {
@@ -25,8 +30,6 @@
     name: String,
     path: PathBuf,
     suspensions: Arc<Suspensions>,
-    /// The suspended workers as last read from or written to the file.
-    synced: SuspendedWorkers,
     /// Identifies the file version that was last read or written.
     fingerprint: Option<FileFingerprint>,
 }
@@ -47,15 +50,11 @@
         let path = file_path(&name);
         // Taken before the file is read, so that a write in between is detected as a change.
         let fingerprint = FileFingerprint::of(&path);
-        let synced = SuspendedWorkers::default();
-        let mut store = SuspensionStore { listen_address, name, path, suspensions, synced, fingerprint };
+        let store = SuspensionStore { listen_address, name, path, suspensions, fingerprint };
         if let Some(saved) = store.read() {
             tracing::info!(name = %store.name, count = saved.ids.len(), "restored suspended workers");
-            let sequence = saved.sequence;
             store.suspensions.adopt(saved);
-            store.suspensions.mark_saved(sequence);
         }
-        store.synced = store.suspensions.workers();
         store
     }
 
@@ -64,7 +63,7 @@
         std::thread::spawn(move || {
             loop {
                 self.apply_file_changes(&inbox);
-                self.write_local_changes();
+                self.save_changes(&inbox);
             }
         });
     }
@@ -77,8 +76,6 @@
         }
         self.fingerprint = fingerprint;
         let Some(saved) = self.read() else { return };
-        self.synced = saved.clone();
-        self.suspensions.mark_saved(saved.sequence);
         let count = saved.ids.len();
         if self.suspensions.adopt(saved) {
             tracing::info!(name = %self.name, count, "applied suspended workers from another process");
@@ -86,17 +83,17 @@
         }
     }
 
-    /// Waits up to [`POLL_INTERVAL`] for a change, and writes it to the file.
-    fn write_local_changes(&mut self) {
-        let current = self.suspensions.wait_for_change(self.synced.sequence, POLL_INTERVAL);
-        if current.sequence <= self.synced.sequence {
+    /// Waits up to [`POLL_INTERVAL`] for changes, and adds them to the file.
+    fn save_changes(&mut self, inbox: &Inbox) {
+        let changes = self.suspensions.wait_for_unsaved(POLL_INTERVAL);
+        if changes.is_empty() {
             return;
         }
-        match self.write(&current) {
-            Ok(()) => {
-                self.suspensions.mark_saved(current.sequence);
-                self.synced = current;
-                self.fingerprint = FileFingerprint::of(&self.path);
+        match self.add_to_file(&changes) {
+            Ok(written) => {
+                if self.suspensions.mark_saved(&changes, written) {
+                    inbox.wake();
+                }
             }
             Err(error) => {
                 let path = self.path.display();
@@ -107,6 +104,34 @@
         }
     }
 
+    /// Adds changes to the set in the file, which another process may have written meanwhile. Returns the new set.
+    fn add_to_file(&mut self, changes: &UnsavedChanges) -> io::Result<SuspendedWorkers> {
+        let _lock = self.lock()?;
+        let known = self.suspensions.workers();
+        let base = self.read().filter(|saved| saved.sequence >= known.sequence).unwrap_or(known);
+        let new = base.with_changes(changes);
+        if new.ids.len() > MAX_SUSPENDED {
+            return Err(io::Error::other("too many workers out by hand"));
+        }
+        self.write(&new)?;
+        self.fingerprint = FileFingerprint::of(&self.path);
+        Ok(new)
+    }
+
+    /// Takes the lock on writing, which is released when the returned file is closed.
+    fn lock(&self) -> io::Result<File> {
+        let file =
+            File::options().create(true).append(true).open(self.path.with_extension("suspended-lock"))?;
+        let since = Instant::now();
+        loop {
+            match flock(&file, FlockOperation::NonBlockingLockExclusive) {
+                Ok(()) => return Ok(file),
+                Err(error) if since.elapsed() >= LOCK_TIMEOUT => return Err(error.into()),
+                Err(_) => std::thread::sleep(LOCK_RETRY_INTERVAL),
+            }
+        }
+    }
+
     /// Reads the file. An unreadable or invalid file is logged and ignored.
     fn read(&self) -> Option<SuspendedWorkers> {
         let name = &self.name;
