--- a/dispatcher/src/core/event_loop.rs
+++ b/dispatcher/src/core/event_loop.rs
@@ -138,7 +138,9 @@
         dialer: Option<Box<dyn Dialer>>,
     ) -> Result<FleetId, SettingsError> {
         let dispatcher = Dispatcher::new(settings.clone(), seed)?;
-        Ok(self.fleets.add(Fleet::new(dispatcher, settings, dialer)))
+        let mut fleet = Fleet::new(dispatcher, settings, dialer);
+        fleet.events.extend(self.suspensions.events());
+        Ok(self.fleets.add(fleet))
     }
 
     /// Runs the loop until a requested shutdown is complete.
--- a/dispatcher/src/core/event_loop/suspended_workers.rs
+++ b/dispatcher/src/core/event_loop/suspended_workers.rs
@@ -12,6 +12,13 @@
     workers: BTreeSet<WorkerId>,
 }
 
+impl AppliedSuspensions {
+    /// The events that notify a new fleet of the suspended workers.
+    pub(super) fn events(&self) -> impl Iterator<Item = Event> {
+        self.workers.iter().map(|worker| Event::SuspensionChanged { worker: *worker, suspended: true })
+    }
+}
+
 impl Core {
     /// Notifies the decision logic of each fleet of the workers that were suspended or restored since the last call.
     /// Ends the attempts at suspended workers of which nothing has been sent.
--- a/dispatcher/src/core/event_loop_tests.rs
+++ b/dispatcher/src/core/event_loop_tests.rs
@@ -4,6 +4,8 @@
 use super::*;
 use crate::core::NewStream;
 use parking_lot::Mutex;
+use roselock::WorkerId;
+use roselock::settings::fnv1a;
 use rstest::rstest;
 
 /// A job source with one job.
@@ -46,6 +48,29 @@
     assert_eq!(core.fleets.len(), 0);
 }
 
+/// Guards against requests to a suspended worker by a fleet that was added after the suspension, as for a function that
+/// a reload adds.
+#[rstest]
+fn a_new_fleet_is_notified_of_the_suspended_workers() {
+    let options = r#"{"fleetSize":1,"lanes":[{"name":"look","promiseS":9,"giveUpS":60,"effect":"safe"}],"tickS":0.005}"#;
+    let settings = settings(options);
+    let (inbox, inputs) = Inbox::new();
+    let mut core = Core::new(inbox, inputs, None, AdminState::new(vec!["look".into()]));
+    core.add_fleet(settings.clone(), 7, None).expect("valid settings");
+    let suspensions = core.admin.suspensions.clone();
+    suspensions.record_listed(["s-1", "s-2"].into_iter());
+    suspensions.set("s-1", true).expect("the worker is listed");
+    suspensions.set("s-2", true).expect("the worker is listed");
+    core.apply_suspensions();
+    suspensions.set("s-2", false).expect("the worker is listed");
+    core.apply_suspensions();
+    core.handle(Input::FleetAdded { fleet: 1, settings: Box::new(settings), seed: 7 });
+    core.step(1, clock::now());
+    let is_suspended =
+        ["s-1", "s-2"].map(|uid| core.fleets[1].dispatcher.is_avoided(WorkerId(fnv1a(uid.as_bytes()))));
+    assert_eq!(is_suspended, [true, false]);
+}
+
 /// Guards against a stream that is accepted and then lost because the process ends: all posted streams are received
 /// first, and then no further streams are accepted.
 #[rstest]
