--- a/dispatcher/src/core/event_loop/inputs.rs
+++ b/dispatcher/src/core/event_loop/inputs.rs
@@ -2,7 +2,7 @@
 
 use super::Core;
 use super::fleets::HostId;
-use crate::core::{CallbackEvent, Input};
+use crate::core::{CallbackEvent, Input, clock};
 use roselock::{Event, LoadReport};
 
 impl Core {
@@ -49,7 +49,8 @@
     }
 
     /// Handles a callback. If its stream is unknown here, it is forwarded to the other process of an upgrade, if there
-    /// is one that may have the stream.
+    /// is one that may have the stream. A late callback for a stream that has ended here is not: it would fill the file
+    /// through which callbacks are relayed.
     fn handle_or_forward_callback(
         &mut self,
         job_id: &str,
@@ -58,7 +59,7 @@
         report: LoadReport,
         body: Option<Vec<u8>>,
     ) {
-        let is_known = self.streams.contains_job_id(job_id);
+        let is_known = self.streams.knows_job_id(job_id, clock::now());
         if !is_known
             && let Some(relay) = &self.relay
             && let Some(body) = body
--- a/dispatcher/src/core/event_loop/stream_table.rs
+++ b/dispatcher/src/core/event_loop/stream_table.rs
@@ -147,7 +147,7 @@
     /// Whether a stream has this job id or had it recently. Callbacks of hosts could not distinguish two streams with
     /// the same id. Clients use a new id for each request: one that was sent to a host before would take effect a
     /// second time.
-    pub(super) fn is_duplicate(&mut self, job_id: &str, now: Micros) -> bool {
+    pub(super) fn knows_job_id(&mut self, job_id: &str, now: Micros) -> bool {
         self.contains_job_id(job_id) || self.recent_job_ids.contains(job_id, now)
     }
     pub(super) fn all_answered(&self) -> bool {
--- a/dispatcher/src/core/event_loop/streams.rs
+++ b/dispatcher/src/core/event_loop/streams.rs
@@ -27,7 +27,7 @@
         }
         self.last_arrival_at = now;
         let job_id = new.payload.id().to_owned();
-        if self.streams.is_duplicate(&job_id, now) {
+        if self.streams.knows_job_id(&job_id, now) {
             tracing::debug!(id = job_id, "request rejected: its id is in use or was used recently");
             return self.reject(new, Answer::Conflict);
         }
--- a/dispatcher/tests/operation.rs
+++ b/dispatcher/tests/operation.rs
@@ -223,6 +223,40 @@
     assert_eq!((answer.status(), &answer.body[..]), (200, &b"r"[..]));
 }
 
+/// Guards against a relay file that is full when an upgrade begins: each late callback for a request that had ended here
+/// was appended to it, through the whole life of the process.
+#[rstest]
+fn a_late_callback_for_a_request_of_this_process_is_not_relayed() {
+    let host = Host::new("s-1");
+    let discovery = MockDiscovery::start();
+    let (settings, cached_list) = (settings(0.0, 2.0), endpoint_list(7, true, &[host.list_entry("ready")]));
+    let options = StartOptions::new(discovery.address, &settings, &cached_list);
+    let dispatcher = Dispatcher::launch(StartOptions { inherited_listener: Some(bind()), ..options });
+    serve(&dispatcher, &host, "c1");
+    for id in ["c1", "of-the-other-process"] {
+        assert_eq!(dispatcher.send_callback(id, host.uid, DONE_FIELDS), 204);
+    }
+    let since = Instant::now();
+    let relayed = loop {
+        let relayed = relayed_callbacks(&dispatcher);
+        if !relayed.is_empty() {
+            break relayed;
+        }
+        assert!(since.elapsed() < WAIT_TIMEOUT, "nothing was relayed");
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    };
+    assert!(relayed.contains("of-the-other-process") && !relayed.contains("c1"), "{relayed}");
+}
+
+/// What a process has written to the file through which callbacks are relayed.
+fn relayed_callbacks(dispatcher: &Dispatcher) -> String {
+    let suffix = format!(".relay.{}", dispatcher.process.id());
+    let files = std::fs::read_dir(&dispatcher.tmp).expect("cannot list directory");
+    let paths = files.map(|file| file.expect("cannot list directory").path());
+    let relay_file = paths.into_iter().find(|path| path.to_string_lossy().ends_with(&suffix));
+    relay_file.map_or(String::new(), |path| std::fs::read_to_string(path).expect("cannot read file"))
+}
+
 /// Serves each request at a host with a 202 and at once the callback, to whichever process accepts it.
 fn serve_all(host: &Host, at: SocketAddr) {
     let listener = host.listener.try_clone().expect("cannot clone listener");
