--- a/dispatcher/src/lifecycle/relay.rs
+++ b/dispatcher/src/lifecycle/relay.rs
@@ -39,7 +39,12 @@
 pub fn start(name: &str, site: Arc<Site>, inbox: Inbox) -> Box<dyn CallbackRelay> {
     let (queue, receiver) = sync_channel(QUEUE_CAPACITY);
     let prefix = file_prefix(name, &[site.classes.names(), site.tenants.names()]);
-    std::thread::spawn(move || run(&prefix, &site, &inbox, &receiver));
+    let directory = std::env::temp_dir();
+    let own_path = directory.join(format!("{prefix}{}", std::process::id()));
+    let writer = RelayWriter::new(own_path.clone());
+    // Created before the first attempt: from here on, callbacks in the files may be for this process.
+    let reader = RelayReader::new(directory, prefix, own_path);
+    std::thread::spawn(move || run(writer, reader, &site, &inbox, &receiver));
     Box::new(RelaySender { queue })
 }
 
@@ -51,11 +56,13 @@
     format!("roselock-{name}-{hash:016x}.relay.")
 }
 
-fn run(prefix: &str, site: &Site, inbox: &Inbox, receiver: &Receiver<Vec<u8>>) {
-    let directory = std::env::temp_dir();
-    let own_path = directory.join(format!("{prefix}{}", std::process::id()));
-    let mut writer = RelayWriter::new(own_path.clone());
-    let mut reader = RelayReader::new(directory, prefix.to_owned(), own_path);
+fn run(
+    mut writer: RelayWriter,
+    mut reader: RelayReader,
+    site: &Site,
+    inbox: &Inbox,
+    receiver: &Receiver<Vec<u8>>,
+) {
     loop {
         let capacity_left = QUEUE_CAPACITY.saturating_sub(writer.queued());
         writer.enqueue(receiver.try_iter().take(capacity_left));
--- a/dispatcher/src/lifecycle/relay_tests.rs
+++ b/dispatcher/src/lifecycle/relay_tests.rs
@@ -1,7 +1,11 @@
 //! Tests for the files through which callbacks are relayed.
 
-use super::file_prefix;
 use super::reader::{ParsedRecords, parse_records};
+use super::{file_prefix, start};
+use crate::core::{Inbox, Input};
+use roselock::settings::Options;
+use std::sync::Arc;
+use std::time::Duration;
 
 #[test]
 fn complete_records_are_parsed_and_a_partial_one_is_left() {
@@ -22,3 +26,24 @@
     assert!(prefixes.iter().all(|prefix| prefix.starts_with("roselock-n_1-") && prefix.ends_with(".relay.")));
     assert!(prefixes[0] != prefixes[1] && prefixes[0] != prefixes[2] && prefixes[1] != prefixes[2]);
 }
+
+/// Guards against a callback that is lost at the start of the second process of an upgrade: what the other process
+/// appended before the relay thread ran for the first time was skipped.
+#[test]
+fn a_callback_that_is_appended_right_after_the_start_is_read() {
+    let options = r#"{"fleetSize":1,"lanes":[{"name":"look","promiseS":9,"giveUpS":60,"effect":"safe"}],"tickS":0.005}"#;
+    let options: Options = serde_json::from_str(options).expect("valid options");
+    let site = Arc::new(options.site().expect("valid settings"));
+    for round in 0..5 {
+        let name = format!("relay-test-{}-{round}", std::process::id());
+        let prefix = file_prefix(&name, &[site.classes.names(), site.tenants.names()]);
+        let other_path = std::env::temp_dir().join(format!("{prefix}other"));
+        let (inbox, inputs) = Inbox::new();
+        let _relay = start(&name, site.clone(), inbox);
+        let body = r#"{"id":"c1","from":"s-1","state":"started"}"#;
+        std::fs::write(&other_path, format!("{}\n{body}\n", body.len())).expect("cannot write file");
+        let input = inputs.recv_timeout(Duration::from_secs(5));
+        std::fs::remove_file(&other_path).expect("cannot remove file");
+        assert!(matches!(input, Ok(Input::Callback { id, .. }) if id == "c1"), "round {round}");
+    }
+}
