--- a/dispatcher/src/wire/gearman/resolved_settings.rs
+++ b/dispatcher/src/wire/gearman/resolved_settings.rs
@@ -14,6 +14,8 @@
 const MAX_SLOW_START_S: f64 = 86_400.0;
 /// Default scheduling tick of worker fleets, in microseconds.
 const DEFAULT_TICK: Micros = 200;
+/// Number of jobs that a worker runs at a time.
+const SLOTS_PER_WORKER: f64 = 1.0;
 
 /// The settings of the whole front end.
 #[derive(Clone, Debug)]
@@ -115,6 +117,7 @@
     settings.fleet_size = 1;
     settings.instance_index = 0;
     settings.watch_required = false;
+    settings.initial_slots = SLOTS_PER_WORKER;
     settings.units_fall_with_load = false;
     settings.reports_start = true;
     settings.limits.health_checks_allowed = false;
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -25,5 +25,5 @@
 pub use ids::{CellId, ClassId, JobId, KeyId, KindId, Micros, SECOND, TenantId, WorkerId, ZoneId};
 pub use limits::{Costs, Limits, RetryBudget, Safety};
 pub use roselock_discovery_client::poll_schedule::{WatchEnd, WatchEndReason};
-pub use settings::{DEFAULT_LIST_CALL_TIME, Settings};
+pub use settings::{DEFAULT_INITIAL_SLOTS, DEFAULT_LIST_CALL_TIME, Settings};
 pub use settings_check::SettingsError;
--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -9,6 +9,9 @@
 /// services need as well.
 pub const DEFAULT_LIST_CALL_TIME: Micros = SECOND / 12;
 
+/// Default of [`Settings::initial_slots`].
+pub const DEFAULT_INITIAL_SLOTS: f64 = 2.0;
+
 /// Configuration of a dispatcher.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -44,6 +47,8 @@
     pub list_unconfirmed: bool,
     /// [`Endpoint::units`](crate::Endpoint::units) falls as a worker has more requests in flight.
     pub units_fall_with_load: bool,
+    /// Number of slots that a worker is assumed to have until it or other workers show how many there are.
+    pub initial_slots: f64,
     /// Workers report when a request starts.
     pub reports_start: bool,
     /// Interval between progress updates, in microseconds; 0 if there are none.
@@ -77,6 +82,7 @@
             list_call_time: DEFAULT_LIST_CALL_TIME,
             list_unconfirmed: false,
             units_fall_with_load: false,
+            initial_slots: DEFAULT_INITIAL_SLOTS,
             reports_start: false,
             progress_interval: 0,
             tick: SECOND / 1000,
--- a/src/api/settings_check.rs
+++ b/src/api/settings_check.rs
@@ -47,6 +47,9 @@
         require_duration("familyInfo.progressS", self.progress_interval)?;
         // `list_call_ms` is a key of the dispatcher's own configuration, not one of the site's settings.
         require_duration("list_call_ms", self.list_call_time)?;
+        let has_slots = self.initial_slots >= 1.0 && self.initial_slots.is_finite();
+        // The dispatcher's own configuration sets it, not the site's settings.
+        require("initial slots", has_slots, "must be at least 1")?;
         require("tickS", self.tick > 0, "must be above 0")
     }
 }
--- a/src/decisions/endpoint_list.rs
+++ b/src/decisions/endpoint_list.rs
@@ -2,7 +2,7 @@
 
 use crate::api::*;
 use crate::dispatcher::Dispatcher;
-use crate::state::capacity::DEFAULT_CAPACITY;
+use crate::state::capacity::DEFAULT_MEMORY;
 use crate::state::placement::WARMING_UP;
 use crate::state::prices::ResourceTimeline;
 use crate::state::resources::{RESOURCES, SLOT};
@@ -149,7 +149,9 @@
         let ready: Vec<&Worker> = self.workers.iter().filter(|worker| worker.ready).collect();
         let count = ready.len() as f64;
         if ready.is_empty() {
-            return InitialEstimates { capacity: [DEFAULT_CAPACITY; 2], price: ResourceTimeline::default() };
+            let mut capacity = [DEFAULT_MEMORY; RESOURCES.len()];
+            capacity[SLOT] = self.settings.initial_slots;
+            return InitialEstimates { capacity, price: ResourceTimeline::default() };
         }
         let capacity =
             |resource: usize| ready.iter().map(|worker| worker.capacity[resource].total).sum::<f64>() / count;
--- a/src/settings/site.rs
+++ b/src/settings/site.rs
@@ -4,8 +4,8 @@
 use super::micros_from_seconds;
 use super::options::{self, Lane, Options, WorkerReport};
 use crate::api::{
-    Class, Costs, DEFAULT_LIST_CALL_TIME, Idempotency, KeyScope, KindId, Limits, LoadReport, RetryBudget,
-    Safety, Settings, Tenant, ZoneId,
+    Class, Costs, DEFAULT_INITIAL_SLOTS, DEFAULT_LIST_CALL_TIME, Idempotency, KeyScope, KindId, Limits,
+    LoadReport, RetryBudget, Safety, Settings, Tenant, ZoneId,
 };
 
 /// The reason why [`Options`] cannot be converted into [`Settings`].
@@ -137,6 +137,7 @@
             list_call_time: DEFAULT_LIST_CALL_TIME,
             list_unconfirmed: false,
             units_fall_with_load: self.weight_kind == "live",
+            initial_slots: DEFAULT_INITIAL_SLOTS,
             reports_start: self.family_info.tells_start,
             progress_interval: micros_from_seconds(self.family_info.progress_s),
             tick: micros_from_seconds(self.tick_s),
--- a/src/state/capacity.rs
+++ b/src/state/capacity.rs
@@ -2,8 +2,8 @@
 
 use crate::api::Micros;
 
-/// Initial capacity estimate, in slots or memory units.
-pub(crate) const DEFAULT_CAPACITY: f64 = 2.0;
+/// Initial estimate of the memory of a worker, in memory units.
+pub(crate) const DEFAULT_MEMORY: f64 = 2.0;
 /// Weight of a new report in the moving average.
 const REPORT_GAIN: f64 = 0.2;
 /// Weight of an inferred capacity in the moving average.
