--- a/dispatcher/src/lifecycle/suspension_store.rs
+++ b/dispatcher/src/lifecycle/suspension_store.rs
@@ -16,6 +16,9 @@
 
 /// Interval between checks of the file.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval between writes of a file without changes. A file that has not been written for long is ignored, and a
+/// suspension lasts until the worker is restored.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(3600);
 /// How long a write waits for the lock, which the other process of an upgrade holds while it writes.
 const LOCK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval between attempts to take the lock.
@@ -32,6 +35,8 @@
     suspensions: Arc<Suspensions>,
     /// Identifies the file version that was last read or written.
     fingerprint: Option<FileFingerprint>,
+    /// When the file was last written by this process, or else when this process started.
+    written_at: Instant,
 }
 
 /// Detects changes of the file. Each write creates a new file, so a change shows even if the wall clock is
@@ -50,7 +55,14 @@
         let path = file_path(&name);
         // Taken before the file is read, so that a write in between is detected as a change.
         let fingerprint = FileFingerprint::of(&path);
-        let store = SuspensionStore { listen_address, name, path, suspensions, fingerprint };
+        let store = SuspensionStore {
+            listen_address,
+            name,
+            path,
+            suspensions,
+            fingerprint,
+            written_at: Instant::now(),
+        };
         if let Some(saved) = store.read() {
             tracing::info!(name = %store.name, count = saved.ids.len(), "restored suspended workers");
             store.suspensions.adopt(saved);
@@ -64,6 +76,7 @@
             loop {
                 self.apply_file_changes(&inbox);
                 self.save_changes(&inbox);
+                self.refresh_if_due(Instant::now());
             }
         });
     }
@@ -104,6 +117,24 @@
         }
     }
 
+    /// Writes the file again if it holds suspended workers and has not been written for long.
+    fn refresh_if_due(&mut self, now: Instant) {
+        if now.duration_since(self.written_at) < REFRESH_INTERVAL {
+            return;
+        }
+        self.written_at = now;
+        if self.suspensions.workers().ids.is_empty() {
+            return;
+        }
+        match self.add_to_file(&UnsavedChanges::new()) {
+            Ok(written) => _ = self.suspensions.adopt(written),
+            Err(error) => {
+                let path = self.path.display();
+                tracing::warn!(name = %self.name, %path, reason = %error, "cannot write suspended workers");
+            }
+        }
+    }
+
     /// Adds changes to the set in the file, which another process may have written meanwhile. Returns the new set.
     fn add_to_file(&mut self, changes: &UnsavedChanges) -> io::Result<SuspendedWorkers> {
         let _lock = self.lock()?;
@@ -115,6 +146,7 @@
         }
         self.write(&new)?;
         self.fingerprint = FileFingerprint::of(&self.path);
+        self.written_at = Instant::now();
         Ok(new)
     }
 
@@ -195,3 +227,7 @@
 fn unix_time_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
+
+#[cfg(test)]
+#[path = "suspension_store_tests.rs"]
+mod tests;
