--- a/dispatcher/src/lifecycle/id_claim_store.rs
+++ b/dispatcher/src/lifecycle/id_claim_store.rs
@@ -3,6 +3,7 @@
 //! A process that uses the table has a number, and holds a lock on the file of that number as long as it runs. The
 //! operating system releases the lock when the process ends, however it ends.
 
+use super::file_names::sanitize;
 use super::shared_words::SharedWords;
 use crate::core::id_claims::{ClaimStore, HEADER_WORDS, IdClaims, MAX_OWNERS, Owner, TABLE_WORDS};
 use roselock::settings::fnv1a;
@@ -141,9 +142,7 @@
 /// The common prefix of the paths. Both processes of an upgrade have the same name and the same listen address.
 fn file_prefix(name: &str, listen: SocketAddr) -> PathBuf {
     let hash = fnv1a(format!("{name:?} {listen}").as_bytes());
-    let sanitize = |character: char| if character.is_ascii_alphanumeric() { character } else { '_' };
-    let name: String = name.chars().map(sanitize).collect();
-    std::env::temp_dir().join(format!("roselock-{name}-{hash:016x}"))
+    std::env::temp_dir().join(format!("roselock-{}-{hash:016x}", sanitize(name)))
 }
 
 #[cfg(test)]
--- a/dispatcher/src/lifecycle/mod.rs
+++ b/dispatcher/src/lifecycle/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod config;
 pub mod error_chain;
+pub mod file_names;
 pub mod id_claim_store;
 pub mod inherit;
 pub mod listen;
--- a/dispatcher/src/lifecycle/relay.rs
+++ b/dispatcher/src/lifecycle/relay.rs
@@ -6,6 +6,7 @@
 mod reader;
 mod writer;
 
+use super::file_names::sanitize;
 use crate::core::{CallbackRelay, Inbox};
 use crate::wire::callbacks;
 use reader::RelayReader;
@@ -51,9 +52,7 @@
 /// The common prefix of the names of the relay files.
 fn file_prefix(name: &str, names: &[&[String]]) -> String {
     let hash = fnv1a(format!("{name:?} {names:?}").as_bytes());
-    let sanitize = |character: char| if character.is_ascii_alphanumeric() { character } else { '_' };
-    let name: String = name.chars().map(sanitize).collect();
-    format!("roselock-{name}-{hash:016x}.relay.")
+    format!("roselock-{}-{hash:016x}.relay.", sanitize(name))
 }
 
 fn run(
--- a/dispatcher/src/lifecycle/suspension_store.rs
+++ b/dispatcher/src/lifecycle/suspension_store.rs
@@ -3,6 +3,7 @@
 //! it when another process has written it, so that suspending or restoring a worker at one of two concurrent
 //! processes applies to both. A write adds the changes of this process to what the file holds, under a lock.
 
+use super::file_names::sanitize;
 use crate::core::Inbox;
 use crate::core::suspensions::{MAX_SUSPENDED, SuspendedWorkers, Suspensions, UnsavedChanges};
 use roselock_admin::suspension_file::SuspensionFile;
@@ -218,9 +219,7 @@
 }
 
 fn file_path(name: &str) -> PathBuf {
-    let sanitize = |character: char| if character.is_ascii_alphanumeric() { character } else { '_' };
-    let name: String = name.chars().map(sanitize).collect();
-    std::env::temp_dir().join(format!("roselock-{name}.suspended"))
+    std::env::temp_dir().join(format!("roselock-{}.suspended", sanitize(name)))
 }
 
 /// The current Unix time in milliseconds.
--- a/dispatcher/tests/common/dispatcher.rs
+++ b/dispatcher/tests/common/dispatcher.rs
@@ -216,6 +216,25 @@
         admin.call(line)
     }
 
+    /// The JSON object with which METRICS is answered.
+    pub fn metrics(&self) -> serde_json::Value {
+        let lines = self.admin_call("METRICS");
+        assert_eq!(lines.len(), 1, "{lines:?}");
+        serde_json::from_str(&lines[0]).expect("METRICS is not JSON")
+    }
+
+    /// Polls METRICS until a metric has the expected value. The metrics of the endpoint list are updated every 0.1 s.
+    pub fn wait_for_metric(&self, pointer: &str, expected: serde_json::Value) {
+        let since = std::time::Instant::now();
+        let mut seen = self.metrics();
+        while seen.pointer(pointer) != Some(&expected) {
+            let value = seen.pointer(pointer);
+            assert!(since.elapsed() < WAIT_TIMEOUT, "{pointer} is {value:?}, not {expected}");
+            std::thread::sleep(std::time::Duration::from_millis(20));
+            seen = self.metrics();
+        }
+    }
+
     fn logged_address(&mut self, text: &str) -> SocketAddr {
         self.wait_for_log(text).parse().expect("invalid address in log line")
     }
