--- a/dispatcher/src/wire/front/connection.rs
+++ b/dispatcher/src/wire/front/connection.rs
@@ -1,6 +1,7 @@
 //! The read side of a client connection: processes requests in sequence until the client disconnects.
 
 mod local_reply;
+mod read_ahead;
 mod routing;
 
 use super::Front;
@@ -13,6 +14,7 @@
 use crate::wire::http::{HttpError, Reader, deadline_after};
 use crate::wire::socket::Socket;
 use may::net::TcpStream;
+use read_ahead::ReadAhead;
 use roselock::{Micros, SECOND};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,11 +27,6 @@
 const LINGER_TIMEOUT: Micros = 2 * SECOND;
 /// Maximum number of bytes that the lingering close reads and discards.
 const MAX_LINGER_BYTES: usize = 8 << 20;
-/// Bytes of pipelined requests that are always buffered while a stream is in flight.
-const MIN_READ_AHEAD: usize = 8 * 1024;
-/// Bytes of pipelined requests that are buffered if the memory for bodies has room for them. Bytes beyond
-/// that are discarded, and the connection closes after the buffered requests.
-const MAX_READ_AHEAD: usize = 64 * 1024;
 /// Interval at which the result of the pending answer is polled while there are pipelined bytes.
 const ANSWER_POLL_INTERVAL: Micros = SECOND / 50;
 
@@ -64,8 +61,8 @@
     writer: Option<Writer>,
     /// The stream whose answer has not been written yet, as far as the reader knows.
     pending_stream: Option<StreamId>,
-    /// Memory reserved for pipelined requests beyond [`MIN_READ_AHEAD`].
-    read_ahead_memory: Option<BodyMemory>,
+    /// Pipelined requests that have been taken from the buffer.
+    read_ahead: ReadAhead,
     /// Set until the client has sent a stream or a callback; until then the connection is shed early.
     unidentified: Option<SheddableConnection>,
     /// When the first valid request must have been received; `None` after that request.
@@ -81,7 +78,7 @@
             reader: Reader::new(socket.clone()),
             writer: None,
             pending_stream: None,
-            read_ahead_memory: None,
+            read_ahead: ReadAhead::default(),
             unidentified: Some(front.connections.mark_sheddable(ShedPriority::Unidentified, &socket)),
             first_request_deadline: Some(deadline_after(FIRST_REQUEST_TIMEOUT)),
             socket,
@@ -92,10 +89,12 @@
     fn step(&mut self) -> NextStep {
         self.reader.skip_blank_lines();
         if let Some(stream) = self.pending_stream {
-            let filled = self.read_ahead();
+            let filled = self.fill_read_ahead();
             return self.check_pending_answer(stream, filled);
         }
-        self.read_ahead_memory = None;
+        if let Some(next) = self.process_read_ahead() {
+            return next;
+        }
         if !self.reader.is_empty() {
             return self.read_and_process_message();
         }
@@ -120,32 +119,6 @@
         sheddable.reclaim().then_some(filled)
     }
 
-    /// Reads pipelined requests while a stream is in flight. It always reads, to detect that the client has
-    /// disconnected.
-    fn read_ahead(&mut self) -> Result<bool, HttpError> {
-        let unparsed = self.reader.unparsed().len();
-        self.set_has_pipelined_bytes(unparsed > 0);
-        if unparsed == 0 {
-            let filled = self.reader.fill(deadline_after(IDLE_TIMEOUT));
-            self.set_has_pipelined_bytes(!self.reader.is_empty());
-            return filled;
-        }
-        if unparsed >= MIN_READ_AHEAD && self.read_ahead_memory.is_none() {
-            self.read_ahead_memory = BodyMemory::reserve(self.front, MAX_READ_AHEAD);
-        }
-        let max_unparsed = if self.read_ahead_memory.is_some() { MAX_READ_AHEAD } else { MIN_READ_AHEAD };
-        if unparsed >= max_unparsed {
-            self.reader.start_discarding();
-        }
-        self.reader.fill(deadline_after(ANSWER_POLL_INTERVAL))
-    }
-
-    fn set_has_pipelined_bytes(&self, has_pipelined_bytes: bool) {
-        if let Some(writer) = &self.writer {
-            writer.exchange().has_pipelined_bytes = has_pipelined_bytes;
-        }
-    }
-
     /// Checks whether the answer of the stream in flight has been written, or the client has disconnected.
     fn check_pending_answer(&mut self, stream: StreamId, filled: Result<bool, HttpError>) -> NextStep {
         let Some(writer) = &self.writer else { return NextStep::End };
--- a/dispatcher/src/wire/front/connection/local_reply.rs
+++ b/dispatcher/src/wire/front/connection/local_reply.rs
@@ -39,7 +39,7 @@
         // The connection of a client whose first request is invalid is closed.
         let is_invalid_first = self.first_request_deadline.is_some() && (400..500).contains(&status);
         // A pipelined request that has been read must also get a response.
-        let is_shutting_down = self.front.inbox.is_closing_connections() && self.reader.is_empty();
+        let is_shutting_down = self.front.inbox.is_closing_connections() && !self.has_pipelined_bytes();
         let close = close_requested || is_invalid_first || is_shutting_down;
         let response = Response { status, headers, body: body.as_bytes(), close };
         let written = write_response(&self.socket, &response, deadline_after(WRITE_TIMEOUT));
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -22,7 +22,7 @@
 /// Maximum size of a request or response body, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Maximum size of a head, and of a trailer section, in bytes.
-const MAX_HEAD_BYTES: usize = 8 * 1024;
+pub const MAX_HEAD_BYTES: usize = 8 * 1024;
 
 /// The deadline `timeout` from now.
 pub fn deadline_after(timeout: Micros) -> Micros {
--- a/dispatcher/src/wire/http/reader.rs
+++ b/dispatcher/src/wire/http/reader.rs
@@ -101,6 +101,21 @@
         Ok(message)
     }
 
+    /// Takes the next request from the unparsed bytes. Returns `None` if it is incomplete, invalid, or has a chunked
+    /// body.
+    pub fn take_buffered_request(&mut self) -> Option<Message> {
+        let Head { mut message, end } = head::parse_request(self.unparsed()).ok()??;
+        message.parse_framing(self.buffer.bytes(), self.max_body).ok()?;
+        let length = end + message.framing.content_length.unwrap_or(0);
+        if message.framing.is_chunked || self.unparsed().len() < length {
+            return None;
+        }
+        message.raw = self.buffer.split_to(length);
+        message.body = end..length;
+        message.received_at = self.buffer.last_removed_at();
+        Some(message)
+    }
+
     /// Reads a complete response; interim responses are skipped.
     ///
     /// # Errors
--- a/dispatcher/tests/pipelined_requests.rs
+++ b/dispatcher/tests/pipelined_requests.rs
@@ -5,8 +5,12 @@
 use common::http_front::DONE_FIELDS;
 use common::*;
 use rstest::rstest;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, channel};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Interval at which a test that sends callbacks looks whether all requests are answered.
+const CALLBACK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 fn start_dispatcher(hosts: &[&Host]) -> (MockDiscovery, Dispatcher) {
     let discovery = MockDiscovery::start();
@@ -96,3 +100,41 @@
         assert_eq!(answer.status(), 200);
     }
 }
+
+/// Guards against requests that are read and never answered (review/2): what came beyond 64 KiB behind a request in flight
+/// was dropped. The requests that fit are served, and the others are refused, in the order of the requests.
+#[rstest]
+fn pipelined_requests_beyond_the_read_ahead_limit_are_refused() {
+    const BODY_BYTES: usize = 20 << 10;
+    const REQUESTS: usize = 12;
+    /// Requests of this size that fit into 64 KiB, and the one in flight.
+    const MIN_SERVED: usize = 4;
+    let host = Host::new("s-1");
+    let (_discovery, dispatcher) = start_dispatcher(&[&host]);
+    let accepted_ids = accept_all_jobs(host);
+    let mut client = HttpPeer::new(connect(dispatcher.http));
+    let body = "x".repeat(BODY_BYTES);
+    for number in 0..REQUESTS {
+        let head = format!("X-Call-Id: c{number}\r\nX-Call-Class: look\r\nX-Budget: 15");
+        let framing = format!("Content-Length: {BODY_BYTES}");
+        client.write(&format!("POST /api/u HTTP/1.1\r\n{head}\r\n{framing}\r\n\r\n{body}"));
+    }
+    let is_answered = AtomicBool::new(false);
+    let statuses: Vec<u16> = std::thread::scope(|scope| {
+        let (dispatcher, is_answered) = (&dispatcher, &is_answered);
+        scope.spawn(move || {
+            while !is_answered.load(Ordering::SeqCst) {
+                let Ok(id) = accepted_ids.recv_timeout(CALLBACK_POLL_INTERVAL) else { continue };
+                assert_eq!(dispatcher.send_callback(&id, "s-1", DONE_FIELDS), 204);
+            }
+        });
+        let answers = (0..REQUESTS).map_while(|_| client.read());
+        let statuses = answers.map(|answer| answer.status()).collect();
+        is_answered.store(true, Ordering::SeqCst);
+        statuses
+    });
+    assert_eq!(statuses.len(), REQUESTS, "requests without an answer: {statuses:?}");
+    let served = statuses.iter().take_while(|status| **status == 200).count();
+    assert!(served >= MIN_SERVED, "requests within the limit were refused: {statuses:?}");
+    assert!(statuses[served..].iter().all(|status| [200, 503].contains(status)), "{statuses:?}");
+}
