--- a/src/decisions/endpoint_list.rs
+++ b/src/decisions/endpoint_list.rs
@@ -41,7 +41,8 @@
         out.push(Action::Timer { delay, token: POLL_TOKEN });
     }
 
-    /// Suspends a worker on an operator's request: it counts as draining, whatever its listed state. Idempotent.
+    /// Suspends a worker on an operator's request: it counts as draining, whatever its listed state.
+    /// Idempotent.
     pub(crate) fn suspend(&mut self, worker: WorkerId, out: &mut Vec<Action>) {
         if self.discovery.suspended.insert(worker) {
             self.reapply_entry(worker, out);
--- a/src/state/workers.rs
+++ b/src/state/workers.rs
@@ -154,8 +154,8 @@
     pub(crate) endpoint: Endpoint,
     /// When its process started, on this dispatcher's clock; `None` means long ago.
     pub(crate) started_at: Option<Micros>,
-    /// Whether it may be sent jobs, as [`DiscoveryState::is_ready`](super::discovery::DiscoveryState::is_ready)
-    /// says of its entry.
+    /// Whether it may be sent jobs: whether its entry
+    /// [is ready](super::discovery::DiscoveryState::is_ready).
     pub(crate) ready: bool,
     /// Largest `units` listed so far.
     pub(crate) max_units: f64,
