--- a/dispatcher/src/core/event_loop/attempts.rs
+++ b/dispatcher/src/core/event_loop/attempts.rs
@@ -7,6 +7,25 @@
 use crate::core::{Answer, FleetId, RequestKind, StreamId, UpstreamId};
 use roselock::{AttemptUpdate, Event, JobId, LoadReport, Outcome};
 
+/// Why the attempts at a host are cancelled.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum CancelReason {
+    /// The host is draining or gone.
+    Unavailable,
+    /// An operator has suspended the host.
+    Suspended,
+}
+
+impl CancelReason {
+    /// The text in the log.
+    fn text(self) -> &'static str {
+        match self {
+            CancelReason::Unavailable => "worker draining or gone",
+            CancelReason::Suspended => "worker suspended",
+        }
+    }
+}
+
 impl Core {
     /// Reports the progress of an attempt to the decision logic and to the client.
     pub(super) fn report_progress(&mut self, id: UpstreamId, update: AttemptUpdate) {
@@ -74,11 +93,12 @@
         }
     }
 
-    /// Ends an attempt, if nothing of it has been sent.
-    fn cancel_unsent_attempt(&mut self, id: UpstreamId) {
-        let Some(request) = self.upstreams.open_attempt_mut(id) else { return };
+    /// Ends an attempt, if nothing of it has been sent. Returns whether it has ended.
+    fn cancel_unsent_attempt(&mut self, id: UpstreamId) -> bool {
+        let Some(request) = self.upstreams.open_attempt_mut(id) else { return false };
         if request.in_dial_queue {
-            return self.leave_dial_queue(id);
+            self.leave_dial_queue(id);
+            return true;
         }
         let is_unsent = request.connection.as_ref().is_some_and(|connection| connection.cancel_unsent());
         if is_unsent {
@@ -86,17 +106,29 @@
             self.end_attempt_without_report(id, Outcome::NotStarted);
             self.upstreams.remove_if_done(id);
         }
+        is_unsent
     }
 
     /// Ends the attempts of which nothing has been sent, at the hosts of a fleet that meet the condition. Their
     /// connections might otherwise be established after the host has drained.
-    pub(super) fn cancel_unsent_at(&mut self, fleet: FleetId, condition: impl Fn(&Host) -> bool) {
+    pub(super) fn cancel_unsent_at(
+        &mut self,
+        fleet: FleetId,
+        reason: CancelReason,
+        condition: impl Fn(&Host) -> bool,
+    ) {
         let fleets = &self.fleets;
         let ids = self.upstreams.unaccepted_attempts(|request| {
             request.host.fleet == fleet && fleets.host(request.host).is_some_and(&condition)
         });
         for id in ids {
-            self.cancel_unsent_attempt(id);
+            if self.cancel_unsent_attempt(id) {
+                tracing::debug!(
+                    upstream_request = id,
+                    reason = reason.text(),
+                    "attempt ended before it was written"
+                );
+            }
         }
     }
 
--- a/dispatcher/src/core/event_loop/dial_queue.rs
+++ b/dispatcher/src/core/event_loop/dial_queue.rs
@@ -230,6 +230,7 @@
         host.dial_queue.push_front(UpstreamRequest {
             id,
             kind: RequestKind::Run(stream.payload.clone()),
+            decided_at: pending.sent_at,
             // Set when the attempt dials.
             connect_by: 0,
             begin_by: stream.begin_by,
--- a/dispatcher/src/core/event_loop/dial_queue_tests.rs
+++ b/dispatcher/src/core/event_loop/dial_queue_tests.rs
@@ -184,6 +184,7 @@
         let request = UpstreamRequest {
             id: test_core.core.upstreams.next_id(),
             kind: RequestKind::Run(Arc::default()),
+            decided_at: 0,
             connect_by: 0,
             begin_by: Micros::MAX,
             deadline: clock::now() + 9_000_000,
--- a/dispatcher/src/core/event_loop/endpoint_list.rs
+++ b/dispatcher/src/core/event_loop/endpoint_list.rs
@@ -1,6 +1,7 @@
 //! The endpoint list: its application to the hosts of a fleet, its validity, and the readiness of the process.
 
 use super::Core;
+use super::attempts::CancelReason;
 use super::fleets::{Fleet, Host};
 use crate::core::{ConnectionState, FleetId, ListedHost, UpstreamEvent, clock};
 use roselock::{EndpointState, Event, ListMode, LoadReport, Micros, Outcome};
@@ -35,7 +36,7 @@
         }
         self.fleets[fleet].apply_list(mode, hosts);
         self.clear_dial_queues(|host| !host.is_ready());
-        self.cancel_unsent_at(fleet, |host| !host.is_ready());
+        self.cancel_unsent_at(fleet, CancelReason::Unavailable, |host| !host.is_ready());
         self.update_readiness();
     }
 
--- a/dispatcher/src/core/event_loop/inputs.rs
+++ b/dispatcher/src/core/event_loop/inputs.rs
@@ -2,8 +2,8 @@
 
 use super::Core;
 use super::fleets::HostId;
-use crate::core::{CallbackEvent, Input, clock};
-use roselock::{Event, LoadReport};
+use crate::core::{CallbackEvent, Input, ListedHost, clock};
+use roselock::{Event, LoadReport, Micros};
 
 impl Core {
     /// Handles one input.
@@ -19,8 +19,9 @@
                 self.handle_or_forward_callback(&id, &from, event, report, body);
                 drop(memory);
             }
-            Input::Hosts { fleet, mode, hosts } => {
+            Input::Hosts { fleet, mode, hosts, received_at } => {
                 self.record_list_confirmation(fleet);
+                log_list_application(&hosts, received_at);
                 self.apply_list(fleet, mode, hosts);
             }
             Input::Capacity { fleet, worker, free_slots } => {
@@ -77,3 +78,11 @@
         self.fleets[host.fleet].events.push(event);
     }
 }
+
+/// Logs how long a list has waited in the queue.
+fn log_list_application(hosts: &[ListedHost], received_at: Micros) {
+    if !hosts.is_empty() {
+        let waited_ms = (clock::now() - received_at) / 1000;
+        tracing::debug!(entries = hosts.len(), waited_ms, "endpoint list applied");
+    }
+}
--- a/dispatcher/src/core/event_loop/request_start.rs
+++ b/dispatcher/src/core/event_loop/request_start.rs
@@ -62,6 +62,7 @@
         UpstreamRequest {
             id: self.upstreams.next_id(),
             kind,
+            decided_at: now,
             connect_by: now + self.fleets[pending.host.fleet].settings.limits.connect_timeout,
             begin_by: stream.map_or(Micros::MAX, |stream| stream.begin_by),
             deadline,
--- a/dispatcher/src/core/event_loop/suspended_workers.rs
+++ b/dispatcher/src/core/event_loop/suspended_workers.rs
@@ -1,6 +1,8 @@
 //! Notifies the decision logic of workers that operators have suspended or restored.
 
 use super::Core;
+use super::attempts::CancelReason;
+use super::fleets::Host;
 use roselock::{Event, WorkerId};
 use std::collections::BTreeSet;
 
@@ -40,7 +42,8 @@
         }
         self.clear_dial_queues(|host| suspended.contains(&host.entry.worker));
         for fleet in 0..self.fleets.len() {
-            self.cancel_unsent_at(fleet, |host| suspended.contains(&host.entry.worker));
+            let is_suspended = |host: &Host| suspended.contains(&host.entry.worker);
+            self.cancel_unsent_at(fleet, CancelReason::Suspended, is_suspended);
         }
         self.suspensions = AppliedSuspensions { generation: change.generation, workers: suspended };
         self.metrics_published_at = 0;
--- a/dispatcher/src/core/messages.rs
+++ b/dispatcher/src/core/messages.rs
@@ -123,6 +123,8 @@
         mode: ListMode,
         /// The hosts.
         hosts: Vec<ListedHost>,
+        /// When it was received.
+        received_at: Micros,
     },
     /// The capacity of a host on an inbound connection, minus the jobs that it runs for other fleets.
     Capacity {
--- a/dispatcher/src/core/upstream.rs
+++ b/dispatcher/src/core/upstream.rs
@@ -25,6 +25,8 @@
     pub id: UpstreamId,
     /// What it asks for.
     pub kind: RequestKind,
+    /// When the event loop decided on it.
+    pub decided_at: Micros,
     /// When opening a new connection for it times out.
     pub connect_by: Micros,
     /// From this time on it must not be written: the hosts would no longer recognize it as a repeated request.
--- a/dispatcher/src/wire/discovery/stream.rs
+++ b/dispatcher/src/wire/discovery/stream.rs
@@ -3,7 +3,7 @@
 use super::handle::Location;
 use super::watch_error::WatchError;
 use super::{DiscoveryWatcher, MAX_LIST_BYTES};
-use crate::core::{Input, clock};
+use crate::core::{Input, ListedHost, clock};
 use crate::wire::http::{HttpError, Reader, deadline_after};
 use crate::wire::list::{EndpointList, listed_hosts};
 use crate::wire::list_parser::{ListParser, MalformedList};
@@ -145,7 +145,7 @@
     fn record_event(&mut self) {
         let previous = self.progress.last_event_at.replace(clock::now());
         if previous.is_none() {
-            self.inbox.post(Input::Hosts { fleet: self.fleet, mode: ListMode::Changes, hosts: Vec::new() });
+            self.post_hosts(ListMode::Changes, Vec::new());
         }
     }
 
@@ -177,9 +177,14 @@
         self.history.record(&mut list);
         let mode = if list.is_complete { ListMode::Complete } else { ListMode::Changes };
         let hosts = listed_hosts(&list, &mut self.site);
-        self.inbox.post(Input::Hosts { fleet: self.fleet, mode, hosts });
+        tracing::debug!(revision = list.revision, ?mode, entries = hosts.len(), "endpoint list received");
+        self.post_hosts(mode, hosts);
         Ok(())
     }
+
+    fn post_hosts(&self, mode: ListMode, hosts: Vec<ListedHost>) {
+        self.inbox.post(Input::Hosts { fleet: self.fleet, mode, hosts, received_at: clock::now() });
+    }
 }
 
 /// Opens the stream of changes after `revision`.
--- a/dispatcher/src/wire/gearman/worker_registration.rs
+++ b/dispatcher/src/wire/gearman/worker_registration.rs
@@ -51,7 +51,8 @@
         };
         let host = ListedHost { uid: self.uid(), address: None, endpoint, connection };
         let fleet = front.function_registry.load().functions[function].fleet;
-        front.inbox.post(Input::Hosts { fleet, mode: ListMode::Changes, hosts: vec![host] });
+        let (mode, received_at) = (ListMode::Changes, clock::now());
+        front.inbox.post(Input::Hosts { fleet, mode, hosts: vec![host], received_at });
     }
 
     /// Handles CAN_DO and CAN_DO_TIMEOUT: registers a function. The worker's first registration counts as its start time.
--- a/dispatcher/src/wire/upstream/connection.rs
+++ b/dispatcher/src/wire/upstream/connection.rs
@@ -122,9 +122,18 @@
         if let Some(class) = request.class {
             self.shared.metrics.attempt_sent(class);
         }
+        self.log_written(request);
         self.receive(open, request)
     }
 
+    /// Logs that an attempt has been written, and how long after the decision.
+    fn log_written(&self, request: &UpstreamRequest) {
+        if let RequestKind::Run(payload) = &request.kind {
+            let waited_ms = (clock::now() - request.decided_at) / 1000;
+            tracing::debug!(id = payload.id(), endpoint = %self.endpoint, waited_ms, "attempt written");
+        }
+    }
+
     fn receive(&self, open: &mut OpenConnection, request: &UpstreamRequest) -> ExchangeResult {
         // Results come in callbacks; only the load report of a health check is in a body.
         let response = match request.kind {
