--- a/dispatcher/tests/common/faults/faults.c
+++ b/dispatcher/tests/common/faults/faults.c
@@ -12,8 +12,11 @@
  *   FAULT_STALL=path      while the file exists, the first write with an X-Budget header passes on 16 bytes, and further
  *                         writes on its connection fail with EAGAIN.
  *   FAULT_HOLD=path       the file holds the delay of each write with an X-Budget header, in milliseconds.
+ *   FAULT_HOLD_RECV=path  the file holds a port and a delay in milliseconds: each read from a peer at that port is delayed, which
+ *                         holds its thread as a shortage of processor time does. Not on the main thread.
  */
 #define _GNU_SOURCE
+#include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -105,10 +108,27 @@
     return failure ? fail(errors, ARRAY_LENGTH(errors), failure) : ORIGINAL(connect)(fd, address, length);
 }
 
+/* Delays a read as the file of FAULT_HOLD_RECV says. */
+static void hold_read(int fd)
+{
+    const char *path = getenv("FAULT_HOLD_RECV");
+    FILE *file = path && gettid() != getpid() ? fopen(path, "re") : NULL;
+    if (!file)
+        return;
+    unsigned port = 0, delay_ms = 0;
+    int count = fscanf(file, "%u %u", &port, &delay_ms);
+    fclose(file);
+    struct sockaddr_in peer;
+    socklen_t length = sizeof peer;
+    if (count == 2 && getpeername(fd, (struct sockaddr *)&peer, &length) == 0 && ntohs(peer.sin_port) == port)
+        usleep(delay_ms * 1000);
+}
+
 /* Odd failures are EINTR, even ones a read of one byte. */
 ssize_t recv(int fd, void *into, size_t size, int flags)
 {
     static unsigned calls;
+    hold_read(fd);
     unsigned failure = is_inet(fd) ? failure_number("FAULT_RECV", &calls) : 0;
     if (failure % 2 == 1) {
         errno = EINTR;
--- /dev/null
+++ b/dispatcher/tests/drain.rs
@@ -0,0 +1,98 @@
+//! Nothing new is sent to a worker that drains or is suspended, 500 ms after the notification, however the dispatcher is held up in
+//! between. A library that is preloaded into the dispatcher holds the thread of the coroutines, as a shortage of processor time
+//! does.
+
+mod common;
+use common::faults::Faults;
+use common::http_front::DONE_FIELDS;
+use common::*;
+use rstest::rstest;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// How long after a notification a request may still be sent.
+const GRACE: Duration = Duration::from_millis(500);
+/// How long the thread of the coroutines is held: longer than [`GRACE`].
+const HOLD_MS: u64 = 1_500;
+
+/// The file that holds the reads of a dispatcher from one peer.
+struct Hold(PathBuf);
+
+impl Hold {
+    /// A file for one test. Nothing is held until [`Hold::begin`].
+    fn new(test: &str) -> Hold {
+        Hold(PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}-{}", std::process::id())))
+    }
+    fn faults(&self) -> Faults {
+        Faults::new().with("FAULT_HOLD_RECV", self.0.display())
+    }
+    /// Holds the reads from the peer at this port from now on.
+    fn begin(&self, port: u16) {
+        // The dispatcher must not read half of the file.
+        let new = self.0.with_extension("new");
+        std::fs::write(&new, format!("{port} {HOLD_MS}")).expect("cannot write file");
+        std::fs::rename(&new, &self.0).expect("cannot rename file");
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Starts a dispatcher with an admin address that logs each attempt, and whose cached endpoint list has this host.
+fn launch(discovery: &MockDiscovery, host: &Host, tmp: Option<PathBuf>, hold: &Hold) -> Dispatcher {
+    let (settings, cached_list) = (settings(0.0, 2.0), endpoint_list(7, true, &[host.list_entry("ready")]));
+    let options = StartOptions::new(discovery.address, &settings, &cached_list);
+    let operator = Some("[log]\nlevel = \"debug\"\n");
+    Dispatcher::launch(StartOptions { admin: true, operator, tmp, faults: Some(hold.faults()), ..options })
+}
+
+/// Serves one request, after which the connection to the host is idle. Returns the host's end of it.
+fn leave_an_idle_connection(dispatcher: &Dispatcher, host: &Host) -> HttpPeer {
+    let mut client = dispatcher.send_request("c1", "look", 10.0);
+    let (peer, _) = host.accept_job();
+    assert_eq!(dispatcher.send_callback("c1", host.uid, DONE_FIELDS), 204);
+    assert_eq!(client.read().expect("no response").status(), 200);
+    peer
+}
+
+/// The port of the host's end of a connection.
+fn port(host: &Host) -> u16 {
+    host.listener.local_addr().expect("no local address").port()
+}
+
+/// Whether a request arrives at the host, on this connection or on a new one, later than [`GRACE`] after the notification.
+/// Waits for twice the hold.
+fn is_sent_late(host: &Host, idle: &mut HttpPeer, notified_at: Instant) -> bool {
+    let until = notified_at + 2 * Duration::from_millis(HOLD_MS);
+    host.listener.set_nonblocking(true).expect("cannot set non-blocking mode");
+    let idle_stream = idle.0.get_ref();
+    idle_stream.set_nonblocking(true).expect("cannot set non-blocking mode");
+    while Instant::now() < until {
+        let is_sent = matches!(idle_stream.peek(&mut [0]), Ok(bytes) if bytes > 0);
+        if (is_sent || host.listener.accept().is_ok()) && notified_at.elapsed() > GRACE {
+            return true;
+        }
+        std::thread::yield_now();
+    }
+    false
+}
+
+/// Guards against a request that is sent to a suspended worker (issue 53): an attempt that waited for its coroutine on a reused
+/// connection counted as written, so the suspension did not cancel it.
+#[rstest]
+fn an_attempt_that_waits_on_a_reused_connection_is_cancelled_by_a_suspension() {
+    let (discovery, host) = (MockDiscovery::start(), Host::new("s-1"));
+    let hold = Hold::new("suspension");
+    let mut dispatcher = launch(&discovery, &host, None, &hold);
+    // The other process of an upgrade, which is not held.
+    let other = launch(&discovery, &host, Some(dispatcher.tmp.clone()), &Hold::new("nothing"));
+    let mut idle = leave_an_idle_connection(&dispatcher, &host);
+    hold.begin(port(&host));
+    let _client = dispatcher.send_request("c2", "look", 10.0);
+    dispatcher.wait_for_log("id=\"c2\" worker=\"s-1\"");
+    assert_eq!(other.admin_call("SUSPEND s-1"), ["+OK s-1 out"]);
+    assert!(!is_sent_late(&host, &mut idle, Instant::now()), "the request was sent to the suspended worker");
+}
