--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -85,6 +85,7 @@
 
 impl UpstreamConnection for HttpConnectionHandle {
     fn start(&self, request: UpstreamRequest) -> bool {
+        self.phase.begin_request();
         self.requests.send(request).is_ok()
     }
 
--- a/dispatcher/src/wire/upstream/connection.rs
+++ b/dispatcher/src/wire/upstream/connection.rs
@@ -90,7 +90,7 @@
             },
         };
         let exchanged = match request.kind {
-            RequestKind::Preconnect => preconnect(&mut open),
+            RequestKind::Preconnect => self.preconnect(&mut open),
             _ => self.send_and_receive(&mut open, request),
         };
         self.open = Some(OpenConnection { opened_at: None, ..open });
@@ -157,6 +157,16 @@
         }
     }
 
+    /// Waits for the time in which the host may reject a new connection. There is nothing to write.
+    fn preconnect(&self, open: &mut OpenConnection) -> ExchangeResult {
+        match open.reader.read_response_without_body(deadline_after(IMMEDIATE_CLOSE)) {
+            Err(HttpError::TimedOut) if self.phase.set_written(&open.socket).is_ok() => {
+                ExchangeResult { event: UpstreamEvent::Ignored, connection: ConnectionState::Free }
+            }
+            _ => ExchangeResult::rejected(false),
+        }
+    }
+
     fn open_connection(&self, request: &UpstreamRequest) -> Result<OpenConnection, OpenError> {
         let opened_at = clock::now();
         let socket = self.connect(request)?;
@@ -196,16 +206,6 @@
     }
 }
 
-/// Waits for the time in which the host may reject a new connection.
-fn preconnect(open: &mut OpenConnection) -> ExchangeResult {
-    match open.reader.read_response_without_body(deadline_after(IMMEDIATE_CLOSE)) {
-        Err(HttpError::TimedOut) => {
-            ExchangeResult { event: UpstreamEvent::Ignored, connection: ConnectionState::Free }
-        }
-        _ => ExchangeResult::rejected(false),
-    }
-}
-
 /// Whether it is too late for the request to begin.
 fn is_past_begin_by(request: &UpstreamRequest) -> bool {
     clock::now() >= request.begin_by
--- a/dispatcher/src/wire/upstream/phase.rs
+++ b/dispatcher/src/wire/upstream/phase.rs
@@ -11,11 +11,11 @@
     /// The connection is being opened.
     #[default]
     Opening,
-    /// The request has not been written completely. An attempt begins when its last byte is written, so this
-    /// one has not begun.
-    Writing(Socket),
-    /// The connection is open, and the last request has been written completely.
-    Open(Socket),
+    /// The connection is open, and its request has not been written completely. An attempt begins when its last
+    /// byte is written, so this one has not begun.
+    Unwritten(Socket),
+    /// The connection is open, and its last request has been written completely.
+    Written(Socket),
     /// The request was aborted or cancelled.
     Aborted,
 }
@@ -28,10 +28,19 @@
 pub(super) struct SharedPhase(Arc<Mutex<Phase>>);
 
 impl SharedPhase {
+    /// Records that the connection has a new request, before the coroutine has it. Otherwise the phase would
+    /// still be that of the request before.
+    pub(super) fn begin_request(&self) {
+        let mut phase = self.0.lock();
+        if let Phase::Written(socket) = &*phase {
+            *phase = Phase::Unwritten(socket.clone());
+        }
+    }
+
     /// Whether the connection is open and has no unread bytes.
     pub(super) fn is_open(&self) -> bool {
         let phase = self.0.lock();
-        matches!(&*phase, Phase::Open(socket) if socket.is_open_and_idle())
+        matches!(&*phase, Phase::Written(socket) if socket.is_open_and_idle())
     }
 
     /// Whether the request was aborted or cancelled.
@@ -44,8 +53,8 @@
         let mut phase = self.0.lock();
         match &*phase {
             Phase::Opening => {}
-            Phase::Writing(socket) => socket.close(),
-            Phase::Open(_) | Phase::Aborted => return false,
+            Phase::Unwritten(socket) => socket.close(),
+            Phase::Written(_) | Phase::Aborted => return false,
         }
         *phase = Phase::Aborted;
         true
@@ -55,7 +64,7 @@
     pub(super) fn abort(&self) {
         let mut phase = self.0.lock();
         match std::mem::replace(&mut *phase, Phase::Aborted) {
-            Phase::Open(socket) | Phase::Writing(socket) => socket.close(),
+            Phase::Written(socket) | Phase::Unwritten(socket) => socket.close(),
             Phase::Opening | Phase::Aborted => {}
         }
     }
@@ -69,16 +78,28 @@
         }
     }
 
-    /// Records that the connection is open.
+    /// Records that the connection is open. Nothing has been written on it yet.
     ///
     /// # Errors
     /// The request was aborted in the meantime.
     pub(super) fn set_open(&self, socket: &Socket) -> Result<(), Aborted> {
+        self.advance(Phase::Unwritten(socket.clone()))
+    }
+
+    /// Records that nothing of the request is left to be written.
+    ///
+    /// # Errors
+    /// The request was aborted in the meantime.
+    pub(super) fn set_written(&self, socket: &Socket) -> Result<(), Aborted> {
+        self.advance(Phase::Written(socket.clone()))
+    }
+
+    fn advance(&self, next: Phase) -> Result<(), Aborted> {
         let mut phase = self.0.lock();
         if matches!(*phase, Phase::Aborted) {
             return Err(Aborted);
         }
-        *phase = Phase::Open(socket.clone());
+        *phase = next;
         Ok(())
     }
 
@@ -100,7 +121,7 @@
         let written = call()?;
         *unwritten -= written;
         let socket = socket.clone();
-        *phase = if *unwritten == 0 { Phase::Open(socket) } else { Phase::Writing(socket) };
+        *phase = if *unwritten == 0 { Phase::Written(socket) } else { Phase::Unwritten(socket) };
         Ok(written)
     }
 }
--- a/dispatcher/src/wire/upstream/request.rs
+++ b/dispatcher/src/wire/upstream/request.rs
@@ -4,7 +4,7 @@
 use crate::core::{Payload, RequestKind, UpstreamRequest, clock};
 use crate::wire::socket::Socket;
 use roselock::Micros;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
 /// The time budget sent to a worker is the remaining time less this margin, which covers the network latency
@@ -32,7 +32,8 @@
         RequestKind::HealthCheck => [b"GET /stats".as_slice(), host.as_bytes(), b"\r\n", b""],
         RequestKind::Preconnect => return Ok(()),
     };
-    socket.write(&parts, request.deadline)
+    socket.write(&parts, request.deadline)?;
+    phase.set_written(socket).map_err(|_aborted| ErrorKind::ConnectionAborted.into())
 }
 
 fn write_run(
--- a/dispatcher/src/wire/upstream_tests.rs
+++ b/dispatcher/src/wire/upstream_tests.rs
@@ -1,10 +1,13 @@
 //! Tests of connections to upstream hosts.
 
-use super::{Arc, Dialer, HttpDialer, Inbox, Metrics, RequestKind, UpstreamId, UpstreamRequest, channel};
+use super::{
+    Arc, Dialer, HttpDialer, Inbox, Metrics, RequestKind, SharedPhase, UpstreamId, UpstreamRequest, channel,
+};
 use crate::core::{ConnectionState, Input, Payload, UpstreamEvent, clock};
+use crate::wire::socket::Socket;
 use roselock::{Micros, Outcome};
 use rstest::rstest;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::TcpListener;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
@@ -96,6 +99,22 @@
     ));
 }
 
+/// Guards against an attempt that is sent after a drain (issue 53): one whose first write found no room counted as written, so
+/// nothing cancelled it.
+#[rstest]
+fn a_request_whose_first_write_finds_no_room_can_be_cancelled() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let endpoint = listener.local_addr().expect("an address");
+    let socket = Socket::connect(endpoint, clock::now() + REQUEST_TIMEOUT).expect("a connection");
+    let phase = SharedPhase::default();
+    assert!(phase.set_open(&socket).is_ok());
+    let mut unwritten = 9;
+    let no_room = phase.write(&socket, &mut unwritten, &mut || Err(ErrorKind::WouldBlock.into()));
+    assert!(no_room.is_err());
+    assert!(phase.cancel_unsent());
+    assert!(phase.write(&socket, &mut unwritten, &mut || Ok(9)).is_err(), "a cancelled request was written");
+}
+
 /// Guards against bodies of hosts' responses that are held without being counted (issue 50). They are discarded, and the next
 /// request on the connection finds the start of its own response.
 #[rstest]
