--- a/dispatcher/src/wire/discovery/stream.rs
+++ b/dispatcher/src/wire/discovery/stream.rs
@@ -4,9 +4,9 @@
 use super::watch_error::WatchError;
 use super::{DiscoveryWatcher, MAX_LIST_BYTES};
 use crate::core::{Input, ListedHost, clock};
-use crate::wire::http::{HttpError, Reader, deadline_after};
+use crate::wire::http::{HttpError, Reader, StreamRead, deadline_after};
 use crate::wire::list::{EndpointList, listed_hosts};
-use crate::wire::list_parser::{ListParser, MalformedList};
+use crate::wire::list_parser::{ListParser, MalformedList, may_end_list};
 use crate::wire::socket::{ConnectError, LocalShortageBackoff, Socket};
 use roselock::{ListMode, Micros, SECOND};
 use roselock_discovery_client::poll_schedule::WATCH_TIMEOUT;
@@ -90,19 +90,21 @@
             empty_list_retry_at = self.empty_list_retry_at(empty_list_retry_at);
             let due = [empty_list_retry_at, self.resync_at].into_iter().flatten();
             let deadline = due.fold(silence_deadline, Micros::min);
-            let mut chunk = Vec::new();
-            match reader.read_chunk(&mut chunk, MAX_LIST_BYTES, deadline) {
-                Ok(true) => {}
-                Ok(false) => return Err(WatchError::Closed),
+            let mut bytes = Vec::new();
+            let is_chunk_end = match reader.read_stream(&mut bytes, MAX_LIST_BYTES, deadline) {
+                Ok(StreamRead::Part) => false,
+                Ok(StreamRead::ChunkEnd) => true,
+                Ok(StreamRead::End) => return Err(WatchError::Closed),
                 Err(HttpError::TimedOut) if self.resync_at == Some(deadline) => {
                     self.revision = None;
                     return Err(WatchError::ResyncDue);
                 }
                 Err(error) => return Err(error.into()),
-            }
+            };
             let continues_list = parser.buffered() > 0;
-            parser.push(&chunk);
-            let found_any = self.apply_lists(&mut parser)?;
+            parser.push(&bytes);
+            // A list counts as notified once it has arrived, also if the end of its chunk has not.
+            let found_any = (is_chunk_end || may_end_list(&bytes)) && self.apply_lists(&mut parser)?;
             let is_buffer_empty = parser.buffered() == 0;
             // The bytes of an incomplete list do not extend the deadline: a list that arrives slowly carries
             // no more information than silence.
--- a/dispatcher/src/wire/http.rs
+++ b/dispatcher/src/wire/http.rs
@@ -12,6 +12,7 @@
 mod response;
 
 pub use buffered_request::BufferedRequest;
+pub use chunked::StreamRead;
 pub use error::HttpError;
 pub use load_report::parse_load_report;
 pub use message::Message;
--- a/dispatcher/src/wire/http/chunked.rs
+++ b/dispatcher/src/wire/http/chunked.rs
@@ -27,6 +27,70 @@
     Ok(true)
 }
 
+/// What [`ChunkStream::read`] has read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamRead {
+    /// A part of the data of a chunk.
+    Part,
+    /// The rest of the data of a chunk.
+    ChunkEnd,
+    /// The end of the stream.
+    End,
+}
+
+/// Reads a stream of chunks as its bytes arrive, whatever is still to come of a chunk.
+#[derive(Debug, Default)]
+pub(super) struct ChunkStream {
+    /// Number of bytes of the current chunk that have not been read.
+    left: usize,
+    /// Whether the CRLF after the data of a chunk is still to come.
+    expects_crlf: bool,
+}
+
+impl ChunkStream {
+    /// Appends data of the current or the next chunk, of at most `max_size` bytes, to `into`.
+    pub(super) fn read(
+        &mut self,
+        buffer: &mut ReadBuffer,
+        into: &mut Vec<u8>,
+        max_size: usize,
+        deadline: Micros,
+    ) -> Result<StreamRead, HttpError> {
+        if self.expects_crlf {
+            skip_crlf(buffer, deadline)?;
+            self.expects_crlf = false;
+        }
+        if self.left == 0 {
+            let ChunkHead { start, size } = read_chunk_head(buffer, max_size, deadline)?;
+            if size == 0 {
+                skip_trailers(buffer, start, deadline)?;
+                return Ok(StreamRead::End);
+            }
+            buffer.advance(start);
+            self.left = size;
+        }
+        if buffer.bytes().is_empty() {
+            buffer.fill_more(deadline)?;
+        }
+        let size = self.left.min(buffer.bytes().len());
+        into.extend_from_slice(&buffer.bytes()[..size]);
+        buffer.advance(size);
+        self.left -= size;
+        self.expects_crlf = self.left == 0;
+        Ok(if self.expects_crlf { StreamRead::ChunkEnd } else { StreamRead::Part })
+    }
+}
+
+/// Skips the CRLF after the data of a chunk.
+fn skip_crlf(buffer: &mut ReadBuffer, deadline: Micros) -> Result<(), HttpError> {
+    buffer.fill_to(CRLF.len(), deadline)?;
+    if !buffer.bytes().starts_with(CRLF) {
+        return Err(HttpError::Status(400));
+    }
+    buffer.advance(CRLF.len());
+    Ok(())
+}
+
 /// Discards a body of at most `max_size` bytes.
 pub(super) fn skip_body(buffer: &mut ReadBuffer, max_size: usize, deadline: Micros) -> Result<(), HttpError> {
     let mut left = max_size;
@@ -36,11 +100,7 @@
             return skip_trailers(buffer, start, deadline);
         }
         buffer.skip(start + size, deadline)?;
-        buffer.fill_to(CRLF.len(), deadline)?;
-        if !buffer.bytes().starts_with(CRLF) {
-            return Err(HttpError::Status(400));
-        }
-        buffer.advance(CRLF.len());
+        skip_crlf(buffer, deadline)?;
         left -= size;
     }
 }
--- a/dispatcher/src/wire/http/reader.rs
+++ b/dispatcher/src/wire/http/reader.rs
@@ -1,5 +1,6 @@
 //! Reads messages from a connection.
 
+use super::chunked::{ChunkStream, StreamRead};
 use super::head::{self, Head, ParsedHead};
 use super::message::Message;
 use super::read_buffer::ReadBuffer;
@@ -13,6 +14,8 @@
 /// Reads messages from a connection.
 pub struct Reader {
     buffer: ReadBuffer,
+    /// The chunk that [`Reader::read_stream`] is reading.
+    stream: ChunkStream,
     /// Maximum size of a body, in bytes.
     max_body: usize,
 }
@@ -25,7 +28,7 @@
 
     /// Creates a reader for bodies of up to `max_body` bytes.
     pub fn with_max_body(socket: Socket, max_body: usize) -> Reader {
-        Reader { buffer: ReadBuffer::new(socket), max_body }
+        Reader { buffer: ReadBuffer::new(socket), stream: ChunkStream::default(), max_body }
     }
 
     /// The bytes that were read but are not parsed yet.
@@ -168,7 +171,7 @@
         }
     }
 
-    /// Reads the head of a response whose chunks are read one at a time with [`Reader::read_chunk`].
+    /// Reads the head of a response whose body is read with [`Reader::read_stream`].
     ///
     /// # Errors
     /// No valid head was received before the deadline.
@@ -178,18 +181,18 @@
         Ok(message)
     }
 
-    /// Appends the data of the next chunk, at most `max_size` bytes, to `into`. Returns false after the last
-    /// chunk.
+    /// Appends the bytes of a chunked body that have arrived, of chunks of at most `max_size` bytes, to `into`. Waits for
+    /// the first one.
     ///
     /// # Errors
-    /// No valid chunk was received before the deadline, or the chunk is too large.
-    pub fn read_chunk(
+    /// No valid bytes were received before the deadline, or a chunk is too large.
+    pub fn read_stream(
         &mut self,
         into: &mut Vec<u8>,
         max_size: usize,
         deadline: Micros,
-    ) -> Result<bool, HttpError> {
-        chunked::read_chunk(&mut self.buffer, into, max_size, deadline)
+    ) -> Result<StreamRead, HttpError> {
+        self.stream.read(&mut self.buffer, into, max_size, deadline)
     }
 
     /// Reads the head of the final response; interim responses are skipped.
@@ -254,7 +257,7 @@
         let mut raw = self.buffer.split_to(head_end);
         loop {
             let max_size = head_end + self.max_body - raw.len();
-            if !self.read_chunk(&mut raw, max_size, deadline)? {
+            if !chunked::read_chunk(&mut self.buffer, &mut raw, max_size, deadline)? {
                 return Ok(raw);
             }
         }
--- a/dispatcher/src/wire/list_parser.rs
+++ b/dispatcher/src/wire/list_parser.rs
@@ -98,6 +98,14 @@
     }
 }
 
+/// Whether a list may end within these bytes of a watch. It is false for most parts of a long list, which so is parsed a few
+/// times only while it arrives.
+pub fn may_end_list(bytes: &[u8]) -> bool {
+    let ends_here = |next: Option<&u8>| next.is_none_or(|byte| byte.is_ascii_whitespace() || *byte == b'{');
+    (0..bytes.len()).any(|index| bytes[index] == b'}' && ends_here(bytes.get(index + 1)))
+        || bytes.iter().all(u8::is_ascii_whitespace)
+}
+
 /// The first position where a line begins with a brace. `at_line_start` is whether `bytes` begins a line.
 fn next_list_start(bytes: &[u8], at_line_start: bool) -> Option<usize> {
     let starts_line = |index: usize| if index == 0 { at_line_start } else { bytes[index - 1] == b'\n' };
