--- a/crates/discovery-client/src/lease.rs
+++ b/crates/discovery-client/src/lease.rs
@@ -80,6 +80,13 @@
         now < self.expires_at
     }
 
+    /// When the lease expires, or has expired; `None` while it has no end, and before it was first valid.
+    #[must_use]
+    pub fn expires_at(&self) -> Option<Micros> {
+        let has_end = self.expires_at > Micros::MIN && self.expires_at < Micros::MAX;
+        has_end.then_some(self.expires_at)
+    }
+
     /// Records a watch event: the watch is open.
     pub fn renew(&mut self) {
         self.expires_at = Micros::MAX;
--- a/dispatcher/src/core/event_loop.rs
+++ b/dispatcher/src/core/event_loop.rs
@@ -161,6 +161,7 @@
             self.serve_dial_queues(now);
             self.poll_job_sources(now);
             self.apply_suspensions();
+            self.cancel_unsent_at_expired_lists(now);
             for fleet in self.fleets.next_round() {
                 self.step(fleet, now);
             }
@@ -195,9 +196,11 @@
         let max_wait = if is_shutting_down { MAX_WAIT_IN_SHUTDOWN } else { MAX_WAIT };
         let latest = clock::now() + max_wait;
         let steps = self.fleets.iter().filter_map(Fleet::next_step_at);
+        let list_expiries = self.fleets.iter().filter_map(Fleet::next_list_expiry);
         let jobs = self.job_sources.iter().filter_map(|source| source.next_due());
         let dials = self.dial_queues.hosts().filter_map(|host| self.next_dial_at(host));
         steps
+            .chain(list_expiries)
             .chain(jobs)
             .chain(dials)
             .chain(self.deadlines.next_at())
--- a/dispatcher/src/core/event_loop/attempts.rs
+++ b/dispatcher/src/core/event_loop/attempts.rs
@@ -14,6 +14,8 @@
     Unavailable,
     /// An operator has suspended the host.
     Suspended,
+    /// The endpoint list has expired.
+    ListExpired,
 }
 
 impl CancelReason {
@@ -22,6 +24,7 @@
         match self {
             CancelReason::Unavailable => "worker draining or gone",
             CancelReason::Suspended => "worker suspended",
+            CancelReason::ListExpired => "endpoint list expired",
         }
     }
 }
--- a/dispatcher/src/core/event_loop/endpoint_list.rs
+++ b/dispatcher/src/core/event_loop/endpoint_list.rs
@@ -82,6 +82,16 @@
         }
     }
 
+    /// Ends the attempts that have not been sent at fleets whose list has expired: the hosts may be draining.
+    pub(super) fn cancel_unsent_at_expired_lists(&mut self, now: Micros) {
+        for id in 0..self.fleets.len() {
+            let fleet = &mut self.fleets[id];
+            let Some(expired_at) = fleet.next_list_expiry().filter(|at| *at <= now) else { continue };
+            fleet.cancelled_for_expiry_at = Some(expired_at);
+            self.cancel_unsent_at(id, CancelReason::ListExpired, |_| true);
+        }
+    }
+
     /// Records that the discovery service has confirmed the list of a fleet, unless all hosts of the fleet are on
     /// inbound connections.
     pub(super) fn record_list_confirmation(&mut self, fleet: FleetId) {
--- a/dispatcher/src/core/event_loop/fleets.rs
+++ b/dispatcher/src/core/event_loop/fleets.rs
@@ -90,6 +90,8 @@
     pub(super) last_rejection: Option<Micros>,
     /// Whether its endpoint list was valid at the latest step.
     pub(super) list_is_valid: bool,
+    /// The expiry of its endpoint list for which its unsent attempts were cancelled last.
+    pub(super) cancelled_for_expiry_at: Option<Micros>,
 }
 
 impl Fleet {
@@ -106,6 +108,7 @@
             dial_limits: None,
             last_rejection: None,
             list_is_valid: false,
+            cancelled_for_expiry_at: None,
         }
     }
     /// Applies new settings. If the decision logic rejects them, logs the reason and keeps the current ones.
@@ -121,6 +124,10 @@
     pub(super) fn has_dial_capacity(&self, kind: &RequestKind) -> bool {
         self.dialer.as_ref().is_some_and(|dialer| dialer.has_capacity(kind))
     }
+    /// When its endpoint list expires, if the unsent attempts have not been cancelled for that.
+    pub(super) fn next_list_expiry(&self) -> Option<Micros> {
+        self.dispatcher.list_expires_at().filter(|at| self.cancelled_for_expiry_at != Some(*at))
+    }
     /// When the decision logic steps next: immediately if there are events, otherwise with the next timer, and at most
     /// once per tick.
     pub(super) fn next_step_at(&self) -> Option<Micros> {
--- a/dispatcher/tests/drain.rs
+++ b/dispatcher/tests/drain.rs
@@ -119,3 +119,35 @@
     let (_peer, request, host) = accept_either(&first, &second);
     assert_eq!((request.header("x-call-id"), host.uid), (Some("c1"), "s-2"));
 }
+
+/// Guards against requests to a worker that drains unnoticed (issue 53): an attempt that waited for a descriptor was sent after the
+/// endpoint list had expired.
+#[rstest]
+fn an_attempt_that_waits_for_a_descriptor_ends_with_the_list() {
+    let (service, host) = (Host::new("discovery"), Host::new("s-1"));
+    let cached_list = endpoint_list(7, true, &[host.list_entry("ready")]);
+    let address = service.listener.local_addr().expect("no local address");
+    let settings = settings(0.0, 2.0);
+    let shortage =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("drain-shortage-{}", std::process::id()));
+    let faults = Some(Faults::new().with("FAULT_SOCKET", 1).with("FAULT_WHILE", shortage.display()));
+    let mut dispatcher =
+        Dispatcher::launch(StartOptions { faults, ..StartOptions::new(address, &settings, &cached_list) });
+    let (mut watch, _) = service.accept_request();
+    watch.write(&(WATCH_RESPONSE.to_owned() + &chunk(&(endpoint_list(8, false, &[]) + "\n"))));
+    wait_until_ready(&dispatcher);
+    std::fs::write(&shortage, "").expect("cannot write file");
+    drop(watch);
+    let _client = dispatcher.send_request("c1", "pay", 15.0);
+    dispatcher.wait_for_log("endpoint list expired");
+    let expired_at = Instant::now();
+    while expired_at.elapsed() < GRACE {
+        std::thread::yield_now();
+    }
+    std::fs::remove_file(&shortage).expect("cannot remove file");
+    host.listener.set_nonblocking(true).expect("cannot set non-blocking mode");
+    while expired_at.elapsed() < 3 * GRACE {
+        assert!(host.listener.accept().is_err(), "the attempt was sent after the list had expired");
+        std::thread::yield_now();
+    }
+}
