--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -102,9 +102,8 @@
     /// Starts a watch after each poll request, or continuously if lists are pushed. The caller schedules the
     /// poll requests; only after a move does the watch continue at the new address immediately.
     pub fn run(mut self, poll_requests: &Receiver<()>) {
-        let mut generation = 0;
         while self.handle.always_watches() || poll_requests.recv().is_ok() {
-            let end = self.watch_across_moves(poll_requests, &mut generation);
+            let end = self.watch_across_moves(poll_requests);
             self.inbox.post(Input::WatchEnded { fleet: self.fleet, end });
             if self.handle.always_watches() {
                 clock::sleep(PUSH_RECONNECT_DELAY);
@@ -112,16 +111,14 @@
         }
     }
 
-    /// Watches until a watch ends for a reason other than a move. `generation` is the one of the latest
-    /// watch.
-    fn watch_across_moves(&mut self, poll_requests: &Receiver<()>, generation: &mut u64) -> WatchEnd {
+    /// Watches until a watch ends for a reason other than a move.
+    fn watch_across_moves(&mut self, poll_requests: &Receiver<()>) -> WatchEnd {
         loop {
             // One watch serves all requests received so far.
             drain_poll_requests(poll_requests);
-            let location = self.handle.location();
-            if location.generation != *generation {
-                *generation = location.generation;
-                self.record_move(location.moved_at);
+            let (location, first_move_at) = self.handle.take_moves();
+            if let Some(moved_at) = first_move_at {
+                self.record_move(moved_at);
             }
             let end = self.watch_once(location);
             // The watch has served the requests that were received while it was open. They are discarded
--- a/dispatcher/src/wire/discovery/handle.rs
+++ b/dispatcher/src/wire/discovery/handle.rs
@@ -23,6 +23,8 @@
 /// The current location, and the connection to it.
 struct HandleState {
     location: Location,
+    /// When the first of the moves was made that the watcher has not taken.
+    first_untaken_move_at: Option<Micros>,
     /// The connection that the watcher reads from, if any.
     connection: Option<Socket>,
 }
@@ -34,16 +36,15 @@
     pub address: SocketAddr,
     /// Number of moves so far.
     pub generation: u64,
-    /// When the discovery service was moved to this address; 0 if it was never moved.
-    pub moved_at: Micros,
 }
 
 impl DiscoveryHandle {
     /// Creates a handle for the discovery service at `address`. `poll_requests` wakes the watcher.
     pub fn new(address: SocketAddr, poll_requests: Sender<()>, always_watch: bool) -> DiscoveryHandle {
-        let location = Location { address, generation: 0, moved_at: 0 };
+        let location = Location { address, generation: 0 };
+        let state = HandleState { location, first_untaken_move_at: None, connection: None };
         DiscoveryHandle {
-            current: Arc::new(Mutex::new(HandleState { location, connection: None })),
+            current: Arc::new(Mutex::new(state)),
             always_watch: Arc::new(AtomicBool::new(always_watch)),
             poll_requests,
         }
@@ -68,8 +69,8 @@
         if current.location.address == address {
             return false;
         }
-        current.location =
-            Location { address, generation: current.location.generation + 1, moved_at: clock::now() };
+        current.location = Location { address, generation: current.location.generation + 1 };
+        current.first_untaken_move_at.get_or_insert_with(clock::now);
         if let Some(connection) = current.connection.take() {
             connection.close();
         }
@@ -78,6 +79,12 @@
         true
     }
 
+    /// The current location, and when the first of the moves since the last call was made, if there were any.
+    pub(super) fn take_moves(&self) -> (Location, Option<Micros>) {
+        let mut current = self.current.lock();
+        (current.location, current.first_untaken_move_at.take())
+    }
+
     /// The current location of the discovery service.
     pub(super) fn location(&self) -> Location {
         self.current.lock().location
@@ -98,3 +105,7 @@
         let _ = self.poll_requests.send(());
     }
 }
+
+#[cfg(test)]
+#[path = "handle_tests.rs"]
+mod tests;
