--- a/crates/rig/src/ledger.rs
+++ b/crates/rig/src/ledger.rs
@@ -1,11 +1,13 @@
 //! The ledger: the stand-ins' observations in chronological order, and the rules that they are checked against.
 
 mod cold_load;
+mod missed;
 mod rules;
 
 pub use cold_load::{ColdBudgetBound, PeakColdLoad};
 pub use rules::Violation;
 
+use crate::scenario::Scenario;
 use crate::time::{Micros, SECOND};
 
 /// How an attempt of a client ended.
@@ -70,6 +72,22 @@
         /// The worker.
         worker: usize,
     },
+    /// The discovery service has listed a worker as ready, or as draining or gone.
+    WorkerListed {
+        /// The worker.
+        worker: usize,
+        /// Whether it is ready.
+        is_ready: bool,
+    },
+    /// A dispatcher can reach the discovery service from now on, or no longer.
+    DiscoveryReachable {
+        /// The dispatcher.
+        dispatcher: usize,
+        /// Whether it can.
+        is_reachable: bool,
+    },
+    /// A dispatcher was notified, by its configuration, that the discovery service has moved.
+    DiscoveryMoved(usize),
     /// A dispatcher sent a job to a worker.
     JobSent {
         /// The dispatcher.
@@ -127,6 +145,19 @@
     pub overload_window: Micros,
     /// How many jobs such a worker may receive for its budget.
     pub cold_budget_bound: ColdBudgetBound,
+    /// Whether a dispatcher is also held to changes that it could have received.
+    pub missed_notifications: MissedNotifications,
+}
+
+/// Whether a dispatcher is held to changes of the endpoint list that were not written to it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum MissedNotifications {
+    /// No change counts that was not written to the dispatcher.
+    #[default]
+    Ignored,
+    /// A change counts as notified 6 s after the discovery service had it and could be reached, and 4 s after the notification that
+    /// the service has moved.
+    Counted,
 }
 
 impl Default for Tolerances {
@@ -136,6 +167,7 @@
             max_send_delay_after_drain: SECOND * 3 / 5,
             overload_window: SECOND,
             cold_budget_bound: ColdBudgetBound::default(),
+            missed_notifications: MissedNotifications::default(),
         }
     }
 }
@@ -150,6 +182,17 @@
         self.0.push((now, observation));
     }
 
+    /// Adds when each dispatcher can reach the discovery service, according to the scenario's outages and link faults.
+    pub fn add_reachability(&mut self, scenario: &Scenario) {
+        for dispatcher in 0..scenario.processes {
+            for (at, is_reachable) in scenario.reachability_changes(dispatcher) {
+                let observation = Observation::DiscoveryReachable { dispatcher, is_reachable };
+                self.0.push((at, observation));
+            }
+        }
+        self.0.sort_by_key(|(at, _)| *at);
+    }
+
     /// Checks the rules and returns the violations.
     #[must_use]
     pub fn violations(&self, tolerances: Tolerances) -> Vec<Violation> {
--- a/crates/rig/src/ledger/rules.rs
+++ b/crates/rig/src/ledger/rules.rs
@@ -1,6 +1,7 @@
 //! Checks the observations of the stand-ins against the rules of the platform.
 
-use super::{Observation, RequestEnd, Tolerances, cold_load};
+use super::missed::MissedChanges;
+use super::{MissedNotifications, Observation, RequestEnd, Tolerances, cold_load};
 use crate::job_id::dispatcher_of;
 use crate::time::Micros;
 use serde::Serialize;
@@ -67,6 +68,7 @@
     resumed_at: HashMap<usize, Micros>,
     /// Time since which a dispatcher knows that a worker is draining.
     drain_known_since: HashMap<Pair, Micros>,
+    missed_changes: MissedChanges,
     violations: Vec<Violation>,
 }
 
@@ -86,11 +88,13 @@
             loss_reasons: HashMap::new(),
             resumed_at: HashMap::new(),
             drain_known_since: HashMap::new(),
+            missed_changes: MissedChanges::default(),
             violations: Vec::new(),
         }
     }
 
     fn observe(&mut self, at: Micros, observation: &'a Observation) {
+        self.missed_changes.observe(at, observation);
         match observation {
             Observation::LossReason(id, reason) => {
                 self.loss_reasons.insert(id, *reason);
@@ -173,7 +177,7 @@
     }
 
     fn check_drain(&mut self, at: Micros, pair: Pair) {
-        let Some(known_since) = self.drain_known_since.get(&pair).copied() else { return };
+        let Some(known_since) = self.known_since(pair) else { return };
         let late = at - known_since;
         if late > self.tolerances.max_send_delay_after_drain {
             let Pair { dispatcher, worker } = pair;
@@ -185,6 +189,16 @@
         }
     }
 
+    /// Since when a dispatcher has been notified, or counts as notified, that a worker is draining.
+    fn known_since(&self, pair: Pair) -> Option<Micros> {
+        let written = self.drain_known_since.get(&pair).copied();
+        let missed = match self.tolerances.missed_notifications {
+            MissedNotifications::Ignored => None,
+            MissedNotifications::Counted => self.missed_changes.notified_since(pair.dispatcher, pair.worker),
+        };
+        written.into_iter().chain(missed).min()
+    }
+
     /// Reports requests without any answer whose deadline, plus the tolerance, is before the end of the ledger.
     fn check_unanswered_requests(&mut self, end: Micros) {
         let latest = end - self.tolerances.max_answer_delay;
--- a/crates/rig/src/links.rs
+++ b/crates/rig/src/links.rs
@@ -67,6 +67,12 @@
 }
 
 impl ParticipantGroup {
+    /// The discovery service.
+    #[must_use]
+    pub fn list() -> ParticipantGroup {
+        ParticipantGroup { kind: GroupKind::List, range: None }
+    }
+
     /// One dispatcher.
     #[must_use]
     pub fn dispatcher(number: usize) -> ParticipantGroup {
@@ -185,6 +191,13 @@
 }
 
 impl LinkFault {
+    /// Whether it affects messages between two participants, in either direction.
+    #[must_use]
+    pub fn connects(&self, first: Participant, second: Participant) -> bool {
+        let forward = self.from.contains(first) && self.to.contains(second);
+        forward || self.from.contains(second) && self.to.contains(first)
+    }
+
     /// Whether it applies to messages between two participants at a time in seconds since the start of the run.
     fn applies_to(&self, from: Participant, to: Participant, now_s: f64) -> bool {
         let forward = self.from.contains(from) && self.to.contains(to);
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -78,6 +78,70 @@
     }
 }
 
+/// The same for the scenarios with drains.
+const DRAIN_SALT: u128 = 0xd4a1;
+/// How long clients send requests while workers drain, in seconds.
+const DRAIN_DURATION_S: f64 = 24.0;
+/// Workers that never drain.
+const LASTING_WORKERS: usize = 2;
+
+/// Generates a scenario with a series of drains, beside trouble of the discovery service: slow calls, outages, watches that end or
+/// fall silent right before a drain. Signals, a crowd on some seeds and the faults of links are those of [`scenario`].
+#[must_use]
+pub fn drain_scenario(seed: u64) -> Scenario {
+    let base = scenario(seed);
+    let mut rng = ScenarioRng(Rand64::new(u128::from(seed) ^ DRAIN_SALT));
+    let mut events: Vec<Event> =
+        base.events.iter().filter(|event| event.targets.is_of_dispatchers()).cloned().collect();
+    let mut cuts = base.cuts.clone();
+    let mut list = draw_slow_list_service(&mut rng);
+    for worker in 0..base.worker_count - LASTING_WORKERS {
+        let at_s = rng.float_between(2.0, DRAIN_DURATION_S - 9.0);
+        let targets = ParticipantGroup::workers(worker..worker + 1);
+        events.push(Event { at_s, targets, kind: EventKind::Drain });
+        let trouble_at_s = at_s - rng.float_between(0.0, 1.0);
+        match rng.int_between(0, 3) {
+            0 => events.push(Event {
+                at_s: trouble_at_s,
+                targets: ParticipantGroup::all_dispatchers(),
+                kind: EventKind::EndWatches,
+            }),
+            1 => cuts.push(draw_silent_watches(&mut rng, trouble_at_s)),
+            2 => list.outages.push(draw_outage_before(&mut rng, at_s)),
+            _ => {}
+        }
+    }
+    Scenario { name: format!("drain-{seed}"), seconds: DRAIN_DURATION_S, list, cuts, events, ..base }
+}
+
+/// The links from the discovery service fall silent for some time.
+fn draw_silent_watches(rng: &mut ScenarioRng, from_s: f64) -> LinkFault {
+    LinkFault {
+        from_s,
+        until_s: from_s + rng.float_between(0.5, 6.0),
+        from: ParticipantGroup::list(),
+        to: ParticipantGroup::all_dispatchers(),
+        one_way: true,
+        fault: Fault::Silent,
+        late_ms: 0.0,
+        jitter_ms: 0.0,
+    }
+}
+
+/// An outage of the discovery service that ends around the time of a drain.
+fn draw_outage_before(rng: &mut ScenarioRng, drain_at_s: f64) -> Outage {
+    let until_s = drain_at_s + rng.float_between(-0.5, 1.0);
+    let from_s = (until_s - rng.float_between(1.0, 14.0)).max(1.0);
+    let failure = [Failure::Answer503, Failure::Reset, Failure::Silence][rng.int_between(0, 2)];
+    Outage { from_s, until_s: until_s.max(from_s + 0.1), failure }
+}
+
+/// A discovery service whose calls take a while, but all of them less than a call may wait.
+fn draw_slow_list_service(rng: &mut ScenarioRng) -> ListServiceProfile {
+    let call_ms = if rng.one_in(2) { rng.float_between(50.0, 400.0) } else { 5.0 };
+    ListServiceProfile { call_ms, ..ListServiceProfile::default() }
+}
+
 /// Generates the scenario of a seed.
 #[must_use]
 pub fn scenario(seed: u64) -> Scenario {
--- a/dispatcher/tests/soak.rs
+++ b/dispatcher/tests/soak.rs
@@ -5,11 +5,11 @@
 mod common;
 use common::faults::Faults;
 use roselock_rig::dispatcher_process::{DISPATCHER_LIMITS, Limits};
-use roselock_rig::ledger::{ColdBudgetBound, Tolerances};
+use roselock_rig::ledger::{ColdBudgetBound, MissedNotifications, Tolerances};
 use roselock_rig::report::Report;
 use roselock_rig::run::{RunError, RunOptions, run_scenario};
 use roselock_rig::scenario::Scenario;
-use roselock_rig::soak::{pressure_scenario, scenario};
+use roselock_rig::soak::{drain_scenario, pressure_scenario, scenario};
 use rstest::rstest;
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
@@ -20,6 +20,8 @@
 const SEEDS: u64 = 8;
 /// The number of seeds by default, for runs under pressure.
 const PRESSURE_SEEDS: u64 = 4;
+/// The number of seeds by default, for runs with drains.
+const DRAIN_SEEDS: u64 = 4;
 /// The smallest limits that operators configure, except on days with a crowd. A debug build takes twice the memory.
 const SMALL_LIMITS: Limits = Limits { memory_mb: if cfg!(debug_assertions) { 64 } else { 32 }, sockets: 256 };
 /// The number of concurrent runs by default.
@@ -136,3 +138,19 @@
         default_seeds: PRESSURE_SEEDS,
     });
 }
+
+/// Guards against requests to workers that drain (issue 53), also where the dispatcher has missed the notification.
+#[rstest]
+fn nothing_is_sent_to_draining_workers() {
+    let missed_notifications = MissedNotifications::Counted;
+    check_seeds(GeneratedRuns {
+        scenario: drain_scenario,
+        limits: DISPATCHER_LIMITS,
+        tolerances: Tolerances {
+            missed_notifications,
+            cold_budget_bound: ColdBudgetBound::Platform,
+            ..Tolerances::default()
+        },
+        default_seeds: DRAIN_SEEDS,
+    });
+}
