--- a/dispatcher/src/core/event_loop/attempts.rs
+++ b/dispatcher/src/core/event_loop/attempts.rs
@@ -103,7 +103,7 @@
             self.leave_dial_queue(id);
             return true;
         }
-        let is_unsent = request.connection.as_ref().is_some_and(|connection| connection.cancel_unsent());
+        let is_unsent = request.connection.as_ref().is_some_and(|connection| connection.cancel_unsent(id));
         if is_unsent {
             request.connection = None;
             self.end_attempt_without_report(id, Outcome::NotStarted);
--- a/dispatcher/src/core/pool_tests.rs
+++ b/dispatcher/src/core/pool_tests.rs
@@ -36,6 +36,9 @@
         true
     }
     fn abort(&self, _: UpstreamId) {}
+    fn cancel_unsent(&self, _: UpstreamId) -> bool {
+        false
+    }
 }
 
 /// Guards against a duplicate answer that is taken for the answer to the next request: a connection is not reused for a
--- a/dispatcher/src/core/upstream.rs
+++ b/dispatcher/src/core/upstream.rs
@@ -48,11 +48,9 @@
     fn is_open(&self) -> bool {
         true
     }
-    /// Cancels the request on the connection if nothing of it has been sent because the connection is not established
-    /// yet. Returns false if something may have been sent.
-    fn cancel_unsent(&self) -> bool {
-        false
-    }
+    /// Cancels the request on the connection if it has not been sent completely. Returns false if it has been, or if the
+    /// connection reports later whether the request was cancelled.
+    fn cancel_unsent(&self, id: UpstreamId) -> bool;
     /// Whether the host opened the connection, as Gearman workers do. Such a connection carries one upstream request at
     /// a time and is never pooled.
     fn is_inbound(&self) -> bool {
--- a/dispatcher/src/wire/gearman/outbox.rs
+++ b/dispatcher/src/wire/gearman/outbox.rs
@@ -68,6 +68,8 @@
     },
     /// Abort an attempt.
     Abort(UpstreamId),
+    /// End an attempt whose job the worker has not grabbed.
+    CancelReservation(UpstreamId),
     /// The reader has ended.
     ReaderEnded,
 }
@@ -192,6 +194,7 @@
                 return wake_up.map(OutgoingPacket::new);
             }
             OutboxMessage::Abort(id) => self.peer.abort(self.front, id),
+            OutboxMessage::CancelReservation(id) => self.peer.cancel_reservation(self.front, id),
             OutboxMessage::ReaderEnded => self.reader_has_ended = true,
         }
         None
--- a/dispatcher/src/wire/gearman/worker_jobs.rs
+++ b/dispatcher/src/wire/gearman/worker_jobs.rs
@@ -94,6 +94,13 @@
         }
     }
 
+    /// Ends an attempt whose job the worker has not grabbed. It has no effect if the worker has grabbed the job.
+    pub fn cancel_reservation(&self, front: &Gearman, id: UpstreamId) {
+        if let Some(job) = self.update(front, |worker| worker.cancel_reservation(|job| job.id == id)) {
+            report_not_started(front, job.id, false);
+        }
+    }
+
     /// Handles GRAB_JOB and its variants: sends the job that is reserved for the worker. Returns NO_JOB if there is none,
     /// unless one may follow soon.
     pub fn grab(self: &Arc<Self>, front: &Gearman, kind: Kind) -> Option<Vec<u8>> {
@@ -126,9 +133,7 @@
         if !has_ended {
             return;
         }
-        if let Some(job) = self.update(front, |worker| worker.cancel_reservation(|job| job.id == id)) {
-            report_not_started(front, job.id, false);
-        }
+        self.cancel_reservation(front, id);
     }
 
     /// The reserved attempt and the number of its job.
--- a/dispatcher/src/wire/gearman/worker_registration.rs
+++ b/dispatcher/src/wire/gearman/worker_registration.rs
@@ -28,6 +28,11 @@
         let _ = self.peer.outbox.post(OutboxMessage::Abort(id));
     }
 
+    fn cancel_unsent(&self, id: UpstreamId) -> bool {
+        let _ = self.peer.outbox.post(OutboxMessage::CancelReservation(id));
+        false
+    }
+
     fn is_inbound(&self) -> bool {
         true
     }
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -93,7 +93,7 @@
         self.phase.is_open()
     }
 
-    fn cancel_unsent(&self) -> bool {
+    fn cancel_unsent(&self, _: UpstreamId) -> bool {
         self.phase.cancel_unsent()
     }
 
--- a/dispatcher/tests/drain.rs
+++ b/dispatcher/tests/drain.rs
@@ -4,6 +4,7 @@
 
 mod common;
 use common::faults::Faults;
+use common::gearman::{GRAB_JOB, GearmanPeer, NO_JOB, NOOP};
 use common::http_front::DONE_FIELDS;
 use common::*;
 use rstest::rstest;
@@ -151,3 +152,30 @@
         std::thread::yield_now();
     }
 }
+
+/// Guards against a job that a suspended Gearman worker gets (issue 53): a job that was reserved for the worker before the
+/// suspension was kept until the worker asked for it.
+#[rstest]
+fn a_job_that_a_gearman_worker_has_not_grabbed_is_cancelled_by_a_suspension() {
+    let discovery = MockDiscovery::start();
+    let (settings, cached_list) = (settings(0.0, 2.0), endpoint_list(1, true, &[]));
+    let function =
+        "[[function]]\nname = \"view\"\nclass = \"look\"\ndeadline_s = 15.0\ntarget = \"gearman\"\n";
+    let functions = format!("cold_s = 0.0\ngrab_s = 10.0\n{function}");
+    let gearman = Some(functions.as_str());
+    let options = StartOptions::new(discovery.address, &settings, &cached_list);
+    let dispatcher = Dispatcher::launch(StartOptions { admin: true, gearman, ..options });
+    let address = dispatcher.gearman.expect("no Gearman address");
+    let mut worker = GearmanPeer::new(address);
+    worker.register(&["view"]);
+    let mut client = GearmanPeer::new(address);
+    client.submit("view", "", "data");
+    worker.expect(NOOP);
+    assert_eq!(dispatcher.admin_call("SUSPEND gearman-1"), ["+OK gearman-1 out"]);
+    let suspended_at = Instant::now();
+    while suspended_at.elapsed() < GRACE {
+        std::thread::yield_now();
+    }
+    worker.send(GRAB_JOB, &[]);
+    worker.expect(NO_JOB);
+}
