--- a/crates/discovery-client/src/poll_schedule.rs
+++ b/crates/discovery-client/src/poll_schedule.rs
@@ -44,6 +44,9 @@
 /// Number of consecutive slow failures after which the next call is still made within [`NOTIFICATION_DEADLINE`], as some calls
 /// to a service that is down fail slowly, too. Further slow failures indicate an overloaded service.
 const MAX_PROMPT_RETRIES: u32 = 3;
+/// A fleet of up to this many dispatchers cannot overload the service by calls within [`NOTIFICATION_DEADLINE`], so slow failures
+/// indicate an outage, however many there are.
+const MAX_SMALL_FLEET: u32 = 30;
 /// Position of such a call in the time that is left until its latest start.
 const PROMPT_RETRY_POSITION: Range<f64> = 0.5..1.0;
 /// After a failed call, the interval until the next poll may be this multiple of the poll interval.
@@ -206,7 +209,8 @@
             Some(started_at) => {
                 let waited = (now - started_at).max(0);
                 self.backoff = (backoff * 2).min((parameters.poll_interval / 8).max(MIN_BACKOFF));
-                self.slot_after_failure(end.reason, waited, random, max_prompt_delay)
+                let is_small_fleet = parameters.instance_count <= MAX_SMALL_FLEET;
+                self.slot_after_failure(end.reason, waited, random, max_prompt_delay, is_small_fleet)
             }
             // A watch may break for all dispatchers at once. As at a start, each calls at its own position.
             None => CallSlot {
@@ -230,6 +234,7 @@
         waited: Micros,
         random: f64,
         max_prompt_delay: Micros,
+        is_small_fleet: bool,
     ) -> CallSlot {
         // A call that waited was in the service's queue. One that failed immediately costs the service next to nothing: the
         // service is down or rejects calls, and is called no less often, so that its recovery is noticed.
@@ -239,7 +244,7 @@
         if failed_slowly {
             self.call_time = (2 * self.call_time).clamp(MIN_CALL_TIME, MAX_CALL_TIME);
         }
-        if self.consecutive_slow_failures > MAX_PROMPT_RETRIES {
+        if self.consecutive_slow_failures > MAX_PROMPT_RETRIES && !is_small_fleet {
             // Positions in the first half of a round are not used: over a whole round, the next call would come after half a
             // round on average, and the service would be called twice as often as the length of the round provides for.
             return CallSlot {
--- a/crates/discovery-client/tests/poll_schedule.rs
+++ b/crates/discovery-client/tests/poll_schedule.rs
@@ -79,6 +79,27 @@
     assert!(delays_s[3..].iter().all(|delay_s| (35..40).contains(delay_s)), "{delays_s:?}");
 }
 
+/// Guards against requests to workers that begin to drain at the end of a long outage (issue 53): few dispatchers cannot overload the
+/// service, but their calls were spread as those of many, so a dispatcher could be notified 9 s after the end of the outage. A change
+/// counts as notified 6 s after it, of which a call takes up to 1.5 s.
+#[rstest]
+#[case::handful(5)]
+#[case::most(30)]
+fn few_dispatchers_call_in_time_after_an_outage_of_any_length(#[case] instance_count: u32) {
+    let instance_index = instance_count - 1;
+    let parameters = PollParameters { instance_count, instance_index, poll_interval: 10 * SECOND };
+    let mut schedule = PollSchedule::new(SECOND / 12);
+    let mut now = 0;
+    schedule.first_delay(parameters);
+    for _ in 0..20 {
+        schedule.begin_poll(now);
+        now += 2 * SECOND;
+        let delay = schedule.delay_after_watch_end(now, parameters, 0.999, refused(now));
+        assert!(delay <= 6 * SECOND - 3 * SECOND / 2, "{delay} µs");
+        now += delay;
+    }
+}
+
 /// Guards against a thundering herd when the service restarts and all watches break at once: the calls are spread over a
 /// round.
 #[rstest]
