--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -61,6 +61,10 @@
     /// When the full list is fetched after a move, unless the discovery service sends it before.
     resync_at: Option<Micros>,
     progress: WatchProgress,
+    /// Whether the service has sent an event since the start.
+    has_received_event: bool,
+    /// Whether a call before the first event was not answered in time.
+    awaits_slow_answer: bool,
     /// The lists that the service at the current address has sent.
     history: ListHistory,
 }
@@ -89,6 +93,8 @@
             resync_after: parameters.resync_after,
             resync_at: None,
             progress: WatchProgress::default(),
+            has_received_event: false,
+            awaits_slow_answer: false,
             history: ListHistory::default(),
         }
     }
@@ -151,6 +157,8 @@
         self.update_empty_list_count();
         tracing::warn!(address = %location.address, reason = %ErrorChain(&error), "discovery watch closed");
         let reason = self.end_reason(&error);
+        self.has_received_event |= self.progress.last_event_at.is_some();
+        self.awaits_slow_answer = reason == WatchEndReason::TimedOut && !self.has_received_event;
         // Without any event, the service has not answered since the watch began, or since it refused the
         // request.
         let unanswered_at = if reason == WatchEndReason::Refused { clock::now() } else { started_at };
--- a/dispatcher/src/wire/discovery/stream.rs
+++ b/dispatcher/src/wire/discovery/stream.rs
@@ -17,6 +17,9 @@
 const CONNECT_TIMEOUT: Micros = SECOND;
 /// Time limit for a response. It allows for requests that are queued at the service.
 const RESPONSE_TIMEOUT: Micros = 3 * SECOND;
+/// The same after a call without a response, while only a cached list is known: a slow service must not be taken for one that
+/// is down.
+const PATIENT_RESPONSE_TIMEOUT: Micros = 2 * RESPONSE_TIMEOUT;
 /// Delay before the full list is fetched again after an empty one, which is almost always wrong. The delay is
 /// doubled each time, at most [`MAX_EMPTY_LIST_DOUBLINGS`] times.
 const EMPTY_LIST_RETRY_DELAY: Micros = SECOND;
@@ -36,7 +39,7 @@
             }
         }
         let Some(revision) = self.revision else { return Err(WatchError::NoRevision) };
-        open_stream(location.address, revision, &socket, &mut reader)?;
+        self.open_stream(location.address, revision, &socket, &mut reader)?;
         self.read_events(&mut reader)
     }
 
@@ -62,6 +65,26 @@
         Ok(socket)
     }
 
+    /// Opens the stream of changes after `revision`.
+    fn open_stream(
+        &self,
+        address: SocketAddr,
+        revision: u64,
+        socket: &Socket,
+        reader: &mut Reader,
+    ) -> Result<(), WatchError> {
+        send_request(address, &format!("?watch=1&after={revision}"), socket)?;
+        let head = reader.read_stream_head(deadline_after(self.response_timeout()))?;
+        if head.status != 200 {
+            return Err(WatchError::Status(head.status));
+        }
+        Ok(())
+    }
+
+    fn response_timeout(&self) -> Micros {
+        if self.awaits_slow_answer { PATIENT_RESPONSE_TIMEOUT } else { RESPONSE_TIMEOUT }
+    }
+
     /// Fetches the full list. Returns whether the connection closes after it.
     fn fetch_full_list(
         &mut self,
@@ -70,7 +93,7 @@
         reader: &mut Reader,
     ) -> Result<bool, WatchError> {
         send_request(address, "", socket)?;
-        let response = reader.read_response(deadline_after(RESPONSE_TIMEOUT))?;
+        let response = reader.read_response(deadline_after(self.response_timeout()))?;
         if response.status != 200 {
             return Err(WatchError::Status(response.status));
         }
@@ -189,21 +212,6 @@
     }
 }
 
-/// Opens the stream of changes after `revision`.
-fn open_stream(
-    address: SocketAddr,
-    revision: u64,
-    socket: &Socket,
-    reader: &mut Reader,
-) -> Result<(), WatchError> {
-    send_request(address, &format!("?watch=1&after={revision}"), socket)?;
-    let head = reader.read_stream_head(deadline_after(RESPONSE_TIMEOUT))?;
-    if head.status != 200 {
-        return Err(WatchError::Status(head.status));
-    }
-    Ok(())
-}
-
 fn send_request(address: SocketAddr, query: &str, socket: &Socket) -> Result<(), WatchError> {
     let request = format!("GET /registry/instances{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     socket.write(&[request.as_bytes()], deadline_after(CONNECT_TIMEOUT)).map_err(WatchError::Send)
--- a/dispatcher/tests/drain.rs
+++ b/dispatcher/tests/drain.rs
@@ -179,3 +179,30 @@
     worker.send(GRAB_JOB, &[]);
     worker.expect(NO_JOB);
 }
+
+/// Guards against requests to a worker that drained before the start (issue 53): a discovery service that answers each call after
+/// 3.5 s was taken for one that is down, and the cached list was used without end.
+#[rstest]
+fn a_slow_discovery_service_is_waited_for_at_the_start() {
+    let (service, first, second) = (Host::new("discovery"), Host::new("s-1"), Host::new("s-2"));
+    let address = service.listener.local_addr().expect("no local address");
+    let current = endpoint_list(8, true, &[first.list_entry("draining"), second.list_entry("ready")]) + "\n";
+    std::thread::spawn(move || {
+        for stream in service.listener.incoming() {
+            let mut watch = HttpPeer::new(stream.expect("no connection"));
+            let current = current.clone();
+            std::thread::spawn(move || {
+                watch.read().expect("no request");
+                std::thread::sleep(Duration::from_millis(3_500));
+                watch.write(&(WATCH_RESPONSE.to_owned() + &chunk(&current)));
+                watch.read();
+            });
+        }
+    });
+    let cached_list = endpoint_list(7, true, &[first.list_entry("ready")]);
+    let settings = settings(0.0, 2.0);
+    let dispatcher = Dispatcher::launch(StartOptions::new(address, &settings, &cached_list));
+    let _client = dispatcher.send_request("c1", "look", 20.0);
+    let (_peer, request, host) = accept_either(&first, &second);
+    assert_eq!((request.header("x-call-id"), host.uid), (Some("c1"), "s-2"));
+}
