--- a/dispatcher/src/core/event_loop/dial_queue.rs
+++ b/dispatcher/src/core/event_loop/dial_queue.rs
@@ -210,7 +210,8 @@
             return;
         }
         let is_limited = fleet.dial_limits.is_some();
-        let may_rejoin = is_limited && !request_written && !pending.withdrawal_requested && host.is_ready();
+        let is_available = host.is_ready() && !self.suspensions.workers.contains(&host_id.worker);
+        let may_rejoin = is_limited && !request_written && !pending.withdrawal_requested && is_available;
         if !may_rejoin || !self.rejoin_dial_queue(id) {
             self.end_rejected_attempt(id, request_written, is_limited);
         }
--- a/dispatcher/src/core/event_loop/dial_queue_tests.rs
+++ b/dispatcher/src/core/event_loop/dial_queue_tests.rs
@@ -223,6 +223,24 @@
     }
 }
 
+/// Guards against an attempt at a suspended host (issue 53): one whose connection was rejected after the suspension went back into the
+/// dial queue, and was sent later.
+#[rstest]
+#[case::suspended(true, 0)]
+#[case::in_use(false, 1)]
+fn a_rejected_attempt_is_queued_again_unless_its_host_is_suspended(
+    #[case] suspended: bool,
+    #[case] queued: usize,
+) {
+    let mut test = TestCore::new(r#""effect":"unsafe""#, true);
+    test.submit();
+    if suspended {
+        test.core.suspensions.workers.insert(HOST.worker);
+    }
+    test.post_event(0, UpstreamEvent::ConnectionRejected { request_written: false }, ConnectionState::Closed);
+    assert_eq!(test.queued(), queued);
+}
+
 /// Guards against a host that continues a job whose result is not needed: it accepted the job while the client was
 /// disconnecting.
 #[rstest]
--- a/dispatcher/src/core/event_loop/suspended_workers.rs
+++ b/dispatcher/src/core/event_loop/suspended_workers.rs
@@ -11,7 +11,8 @@
 pub(super) struct AppliedSuspensions {
     /// The generation of the latest of these changes.
     generation: u64,
-    workers: BTreeSet<WorkerId>,
+    /// The suspended workers.
+    pub(super) workers: BTreeSet<WorkerId>,
 }
 
 impl AppliedSuspensions {
