--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -159,9 +159,11 @@
         let reason = self.end_reason(&error);
         self.has_received_event |= self.progress.last_event_at.is_some();
         self.awaits_slow_answer = reason == WatchEndReason::TimedOut && !self.has_received_event;
-        // Without any event, the service has not answered since the watch began, or since it refused the
-        // request.
-        let unanswered_at = if reason == WatchEndReason::Refused { clock::now() } else { started_at };
+        // Without any event, the service has not answered since the watch began, or, of a service that many dispatchers call,
+        // since it refused the request.
+        let is_small_fleet = self.site.settings.poll_parameters().is_small_fleet();
+        let counts_refusal = reason == WatchEndReason::Refused && !is_small_fleet;
+        let unanswered_at = if counts_refusal { clock::now() } else { started_at };
         WatchEnd { reason, in_sync_until: self.progress.last_event_at.unwrap_or(unanswered_at) }
     }
 
