--- a/dispatcher/src/wire/discovery/stream.rs
+++ b/dispatcher/src/wire/discovery/stream.rs
@@ -93,13 +93,27 @@
         reader: &mut Reader,
     ) -> Result<bool, WatchError> {
         send_request(address, "", socket)?;
-        let response = reader.read_response(deadline_after(self.response_timeout()))?;
+        let deadline = deadline_after(self.response_timeout());
+        let mut result = None;
+        // A list counts as notified once it has arrived, also if the end of the response has not.
+        let response = reader.read_response_in_parts(deadline, |status, body| {
+            let may_be_complete = result.is_none() && body.trim_ascii_end().ends_with(b"}");
+            if status == 200
+                && may_be_complete
+                && let Ok(list) = serde_json::from_slice(body)
+            {
+                result = Some(self.apply_list(list));
+            }
+        })?;
         if response.status != 200 {
             return Err(WatchError::Status(response.status));
         }
-        match serde_json::from_slice(response.body()) {
-            Ok(list) => self.apply_list(list)?,
-            Err(error) => self.count_malformed_list(&error.into()),
+        match result {
+            Some(result) => result?,
+            None => match serde_json::from_slice(response.body()) {
+                Ok(list) => self.apply_list(list)?,
+                Err(error) => self.count_malformed_list(&error.into()),
+            },
         }
         Ok(response.close)
     }
--- a/dispatcher/src/wire/http/reader.rs
+++ b/dispatcher/src/wire/http/reader.rs
@@ -128,13 +128,53 @@
     /// No valid response was received before the deadline.
     pub fn read_response(&mut self, deadline: Micros) -> Result<Message, HttpError> {
         let Head { mut message, end } = self.read_final_head(deadline)?;
+        if message.framing.is_chunked {
+            self.read_body(&mut message, end, deadline)?;
+        } else {
+            self.read_unchunked_body(&mut message, end, deadline)?;
+        }
+        Ok(message)
+    }
+
+    fn read_unchunked_body(
+        &mut self,
+        message: &mut Message,
+        head_end: usize,
+        deadline: Micros,
+    ) -> Result<(), HttpError> {
         // A body without a length ends with the connection (RFC 9112, 6.3).
-        if message.framing.content_length.is_none() && !message.framing.is_chunked {
+        if message.framing.content_length.is_none() {
             message.close = true;
-            while self.unparsed().len() < end + self.max_body && self.fill(deadline)? {}
-            message.framing.content_length = Some(self.unparsed().len() - end);
+            while self.unparsed().len() < head_end + self.max_body && self.fill(deadline)? {}
+            message.framing.content_length = Some(self.unparsed().len() - head_end);
         }
-        self.read_body(&mut message, end, deadline)?;
+        self.read_body(message, head_end, deadline)
+    }
+
+    /// Reads a complete response like [`Reader::read_response`]. Calls `on_body` with the status and the body so far, each time that
+    /// a part of a chunked body has arrived, and with the whole body.
+    ///
+    /// # Errors
+    /// No valid response was received before the deadline.
+    pub fn read_response_in_parts(
+        &mut self,
+        deadline: Micros,
+        mut on_body: impl FnMut(u16, &[u8]),
+    ) -> Result<Message, HttpError> {
+        let Head { mut message, end } = self.read_final_head(deadline)?;
+        if message.framing.is_chunked {
+            message.raw = self.buffer.split_to(end);
+            while self.read_stream(&mut message.raw, self.max_body, deadline)? != StreamRead::End {
+                if message.raw.len() > end + self.max_body {
+                    return Err(HttpError::Status(413));
+                }
+                on_body(message.status, &message.raw[end..]);
+            }
+            message.body = end..message.raw.len();
+        } else {
+            self.read_unchunked_body(&mut message, end, deadline)?;
+        }
+        on_body(message.status, message.body());
         Ok(message)
     }
 
--- a/dispatcher/tests/drain.rs
+++ b/dispatcher/tests/drain.rs
@@ -121,6 +121,30 @@
     assert_eq!((request.header("x-call-id"), host.uid), (Some("c1"), "s-2"));
 }
 
+/// Guards against the same with a complete list: it was applied only with the end of the response.
+#[rstest]
+fn a_complete_list_is_applied_before_the_end_of_its_response() {
+    let (service, first, second) = (Host::new("discovery"), Host::new("s-1"), Host::new("s-2"));
+    let cached_list = endpoint_list(7, true, &[first.list_entry("ready")]);
+    let address = service.listener.local_addr().expect("no local address");
+    let settings = settings(0.0, 2.0);
+    let dispatcher = Dispatcher::launch(StartOptions::new(address, &settings, &cached_list));
+    let (mut watch, _) = service.accept_request();
+    // Changes of an older revision, after which the complete list is fetched.
+    watch.write(&(WATCH_RESPONSE.to_owned() + &chunk(&(endpoint_list(6, false, &[]) + "\n"))));
+    let (mut answer, call) = service.accept_request();
+    assert_eq!(call.start, "GET /registry/instances HTTP/1.1");
+    let current = endpoint_list(8, true, &[first.list_entry("draining"), second.list_entry("ready")]);
+    answer.write(&(WATCH_RESPONSE.to_owned() + &chunk(&current)));
+    let notified_at = Instant::now();
+    while notified_at.elapsed() < GRACE {
+        std::thread::yield_now();
+    }
+    let _client = dispatcher.send_request("c1", "look", 10.0);
+    let (_peer, request, host) = accept_either(&first, &second);
+    assert_eq!((request.header("x-call-id"), host.uid), (Some("c1"), "s-2"));
+}
+
 /// Guards against requests to a worker that drains unnoticed (issue 53): an attempt that waited for a descriptor was sent after the
 /// endpoint list had expired.
 #[rstest]
