--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outage;
 pub mod process;
 pub mod process_history;
+mod reachability;
 pub mod report;
 pub mod run;
 pub mod run_chart;
--- a/crates/rig/tests/ledger.rs
+++ b/crates/rig/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! Tests of the ledger's rules, of scenario parsing and scaling, of link faults and of net claims.
 
-use roselock_rig::ledger::{Ledger, Observation, RequestEnd, Tolerances, WarmUp};
+use roselock_rig::ledger::{Ledger, MissedNotifications, Observation, RequestEnd, Tolerances, WarmUp};
 use roselock_rig::links::{Fault, LinkEffect, LinkFault, Links, Participant};
 use roselock_rig::net::claim_subnet;
 use roselock_rig::scenario::{Scenario, all};
@@ -70,6 +70,41 @@
     assert!(violations.len() <= 1, "{violations:?}");
 }
 
+/// Guards against a judge that overlooks requests to workers whose drain a dispatcher has missed (issue 53), and against one that
+/// blames a dispatcher that could not know of it. The worker is listed as draining at 10 s.
+#[rstest]
+#[case::in_time(vec![], 16_500, false)]
+#[case::late(vec![], 16_700, true)]
+#[case::unreachable(vec![(9_000, reachable(false))], 20_000, false)]
+#[case::reachable_again(vec![(9_000, reachable(false)), (12_000, reachable(true))], 18_500, false)]
+#[case::reachable_for_long(vec![(9_000, reachable(false)), (12_000, reachable(true))], 18_700, true)]
+#[case::a_new_process(vec![(13_000, Observation::DispatcherStarted(0))], 19_500, false)]
+#[case::after_a_move(vec![(11_000, Observation::DiscoveryMoved(0))], 15_700, true)]
+#[case::right_after_a_move(vec![(11_000, Observation::DiscoveryMoved(0))], 15_500, false)]
+#[case::a_move_before(vec![(9_000, Observation::DiscoveryMoved(0))], 15_700, false)]
+#[case::ready_again(vec![(12_000, Observation::WorkerListed { worker: 0, is_ready: true })], 19_000, false)]
+fn a_missed_notification_counts(
+    #[case] between: Vec<(Micros, Observation)>,
+    #[case] sent_at_ms: Micros,
+    #[case] is_violation: bool,
+) {
+    let mut history = vec![(0, Observation::DispatcherStarted(0))];
+    history.push((10_000, Observation::WorkerListed { worker: 0, is_ready: false }));
+    history.extend(between);
+    history.push((sent_at_ms, Observation::JobSent { dispatcher: 0, worker: 0 }));
+    let mut ledger =
+        Ledger(history.into_iter().map(|(at_ms, observation)| (at_ms * MS, observation)).collect());
+    ledger.0.sort_by_key(|(at, _)| *at);
+    let missed_notifications = MissedNotifications::Counted;
+    let counted = ledger.violations(Tolerances { missed_notifications, ..Tolerances::default() });
+    assert_eq!(counted.iter().any(|violation| violation.rule == "drain"), is_violation, "{counted:?}");
+    assert!(ledger.violations(Tolerances::default()).is_empty(), "such changes count only where asked for");
+}
+
+fn reachable(is_reachable: bool) -> Observation {
+    Observation::DiscoveryReachable { dispatcher: 0, is_reachable }
+}
+
 #[rstest]
 fn scenarios_scale_to_300_dispatchers() {
     for scenario in all() {
