--- a/dispatcher/src/core/event_loop/inputs.rs
+++ b/dispatcher/src/core/event_loop/inputs.rs
@@ -23,6 +23,9 @@
                 self.record_list_confirmation(fleet);
                 log_list_application(&hosts, received_at);
                 self.apply_list(fleet, mode, hosts);
+                if self.fleets[fleet].dialer.is_some() {
+                    self.inbox.record_applied_list();
+                }
             }
             Input::Capacity { fleet, worker, free_slots } => {
                 let report = LoadReport { free_slots: Some(free_slots), ..LoadReport::default() };
--- a/dispatcher/src/core/inbox.rs
+++ b/dispatcher/src/core/inbox.rs
@@ -2,8 +2,8 @@
 //! share as atomics.
 
 use super::shutdown_deadlines::ShutdownDeadlines;
-use super::{Input, NewStream, StreamId, clock};
-use roselock::Micros;
+use super::{FleetId, Input, ListedHost, NewStream, StreamId, clock};
+use roselock::{ListMode, Micros};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
@@ -37,6 +37,8 @@
     min_client_timeout: AtomicI64,
     /// The number of streams that are posted and not yet received by the event loop, and the bit [`CLOSED`].
     queued_streams: AtomicU64,
+    /// The number of lists from the discovery service that are posted and not yet applied.
+    unapplied_lists: AtomicUsize,
 }
 
 impl Inbox {
@@ -118,6 +120,20 @@
         self.shared.queued_streams.compare_exchange(0, CLOSED, Ordering::SeqCst, Ordering::SeqCst).is_ok()
     }
 
+    /// Posts a list from the discovery service.
+    pub fn post_list(&self, fleet: FleetId, mode: ListMode, hosts: Vec<ListedHost>) {
+        self.shared.unapplied_lists.fetch_add(1, Ordering::SeqCst);
+        self.post(Input::Hosts { fleet, mode, hosts, received_at: clock::now() });
+    }
+    /// Records that the event loop has applied a list from the discovery service.
+    pub fn record_applied_list(&self) {
+        self.shared.unapplied_lists.fetch_sub(1, Ordering::SeqCst);
+    }
+    /// Whether a list from the discovery service waits for the event loop.
+    pub fn has_unapplied_list(&self) -> bool {
+        self.shared.unapplied_lists.load(Ordering::SeqCst) > 0
+    }
+
     /// Sets whether any host is ready to accept jobs.
     pub fn set_has_ready_host(&self, ready: bool) {
         self.shared.has_ready_host.store(ready, Ordering::SeqCst);
--- a/dispatcher/src/lifecycle/serve.rs
+++ b/dispatcher/src/lifecycle/serve.rs
@@ -46,7 +46,7 @@
     let startup = Startup::new(&config, inbox.clone());
     let flows = startup.start_flow_export()?;
     let suspension_store = startup.load_suspensions();
-    let (mut core, fleet) = startup.create_core(inputs, flows, poll_requests)?;
+    let (mut core, fleet) = startup.create_core(inputs, flows, poll_requests, discovery.clone())?;
     startup.start_discovery(&mut core, fleet, discovery.clone(), requested_polls);
     let http = startup.start_http_front(fleet)?;
     let gearman = startup.start_gearman_front(&mut core, fleet)?;
--- a/dispatcher/src/lifecycle/startup.rs
+++ b/dispatcher/src/lifecycle/startup.rs
@@ -78,6 +78,7 @@
         inputs: std::sync::mpsc::Receiver<Input>,
         flows: Option<Box<dyn FlowSink>>,
         poll_requests: mpsc::Sender<()>,
+        discovery: DiscoveryHandle,
     ) -> Result<(Core, FleetId), StartError> {
         let dialer = HttpDialer::new(
             self.inbox.clone(),
@@ -85,6 +86,7 @@
             self.admin_state.metrics.clone(),
             self.shares.upstream_connections,
             poll_requests,
+            discovery,
         );
         // Only this fleet's endpoint list expires when the discovery service is silent: Gearman workers
         // connect to this process, so their connections show that they exist.
--- a/dispatcher/src/wire/discovery.rs
+++ b/dispatcher/src/wire/discovery.rs
@@ -1,6 +1,7 @@
 //! The discovery client: fetches the endpoint list of upstream hosts and watches for changes to it.
 
 mod handle;
+mod list_barrier;
 mod stream;
 mod watch_error;
 
@@ -11,6 +12,7 @@
 use crate::lifecycle::error_chain::ErrorChain;
 pub use handle::DiscoveryHandle;
 use handle::Location;
+pub use list_barrier::ListBarrier;
 use may::sync::mpsc::Receiver;
 use roselock::Micros;
 use roselock::settings::Site;
@@ -154,6 +156,7 @@
         let started_at = clock::now();
         self.progress = WatchProgress::default();
         let Err(error) = self.watch(location);
+        self.handle.forget_connection();
         self.update_empty_list_count();
         tracing::warn!(address = %location.address, reason = %ErrorChain(&error), "discovery watch closed");
         let reason = self.end_reason(&error);
--- a/dispatcher/src/wire/discovery/handle.rs
+++ b/dispatcher/src/wire/discovery/handle.rs
@@ -8,7 +8,7 @@
 use roselock::Micros;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 /// Controls a [`DiscoveryWatcher`](super::DiscoveryWatcher): its address, and whether it watches
 /// continuously.
@@ -17,6 +17,8 @@
     current: Arc<Mutex<HandleState>>,
     /// Whether the watch is kept open continuously instead of only after a poll request.
     always_watch: Arc<AtomicBool>,
+    /// Number of times that the watcher has handled what it had read.
+    reads: Arc<AtomicU64>,
     poll_requests: Sender<()>,
 }
 
@@ -46,6 +48,7 @@
         DiscoveryHandle {
             current: Arc::new(Mutex::new(state)),
             always_watch: Arc::new(AtomicBool::new(always_watch)),
+            reads: Arc::default(),
             poll_requests,
         }
     }
@@ -101,6 +104,26 @@
         true
     }
 
+    /// Records that the watcher's connection has ended.
+    pub(super) fn forget_connection(&self) {
+        self.current.lock().connection = None;
+    }
+
+    /// Records that the watcher has handled what it had read.
+    pub(super) fn record_read(&self) {
+        self.reads.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// The number of times that the watcher has handled what it had read.
+    pub(super) fn reads(&self) -> u64 {
+        self.reads.load(Ordering::SeqCst)
+    }
+
+    /// Whether bytes from the discovery service wait to be read.
+    pub(super) fn has_unread_bytes(&self) -> bool {
+        self.current.lock().connection.as_ref().is_some_and(Socket::has_unread_bytes)
+    }
+
     fn wake_watcher(&self) {
         let _ = self.poll_requests.send(());
     }
--- a/dispatcher/src/wire/discovery/stream.rs
+++ b/dispatcher/src/wire/discovery/stream.rs
@@ -3,7 +3,7 @@
 use super::handle::Location;
 use super::watch_error::WatchError;
 use super::{DiscoveryWatcher, MAX_LIST_BYTES};
-use crate::core::{Input, ListedHost, clock};
+use crate::core::clock;
 use crate::wire::http::{HttpError, Reader, StreamRead, deadline_after};
 use crate::wire::list::{EndpointList, listed_hosts};
 use crate::wire::list_parser::{ListParser, MalformedList, may_end_list};
@@ -104,6 +104,7 @@
             {
                 result = Some(self.apply_list(list));
             }
+            self.handle.record_read();
         })?;
         if response.status != 200 {
             return Err(WatchError::Status(response.status));
@@ -142,6 +143,7 @@
             parser.push(&bytes);
             // A list counts as notified once it has arrived, also if the end of its chunk has not.
             let found_any = (is_chunk_end || may_end_list(&bytes)) && self.apply_lists(&mut parser)?;
+            self.handle.record_read();
             let is_buffer_empty = parser.buffered() == 0;
             // The bytes of an incomplete list do not extend the deadline: a list that arrives slowly carries
             // no more information than silence.
@@ -184,7 +186,7 @@
     fn record_event(&mut self) {
         let previous = self.progress.last_event_at.replace(clock::now());
         if previous.is_none() {
-            self.post_hosts(ListMode::Changes, Vec::new());
+            self.inbox.post_list(self.fleet, ListMode::Changes, Vec::new());
         }
     }
 
@@ -217,13 +219,9 @@
         let mode = if list.is_complete { ListMode::Complete } else { ListMode::Changes };
         let hosts = listed_hosts(&list, &mut self.site);
         tracing::debug!(revision = list.revision, ?mode, entries = hosts.len(), "endpoint list received");
-        self.post_hosts(mode, hosts);
+        self.inbox.post_list(self.fleet, mode, hosts);
         Ok(())
     }
-
-    fn post_hosts(&self, mode: ListMode, hosts: Vec<ListedHost>) {
-        self.inbox.post(Input::Hosts { fleet: self.fleet, mode, hosts, received_at: clock::now() });
-    }
 }
 
 fn send_request(address: SocketAddr, query: &str, socket: &Socket) -> Result<(), WatchError> {
--- a/dispatcher/src/wire/http/reader.rs
+++ b/dispatcher/src/wire/http/reader.rs
@@ -152,7 +152,7 @@
     }
 
     /// Reads a complete response like [`Reader::read_response`]. Calls `on_body` with the status and the body so far, each time that
-    /// a part of a chunked body has arrived, and with the whole body.
+    /// a part of it has arrived, and with the whole body.
     ///
     /// # Errors
     /// No valid response was received before the deadline.
@@ -172,6 +172,12 @@
             }
             message.body = end..message.raw.len();
         } else {
+            let length = message.framing.content_length.unwrap_or(0);
+            while self.unparsed().len() < end + length {
+                self.buffer.fill_more(deadline)?;
+                let received = self.unparsed().len().min(end + length);
+                on_body(message.status, &self.unparsed()[end..received]);
+            }
             self.read_unchunked_body(&mut message, end, deadline)?;
         }
         on_body(message.status, message.body());
--- a/dispatcher/src/wire/socket.rs
+++ b/dispatcher/src/wire/socket.rs
@@ -231,10 +231,20 @@
 
     /// Whether the connection is open and has no unread bytes.
     pub fn is_open_and_idle(&self) -> bool {
+        matches!(self.peek(), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Whether the connection has unread bytes.
+    pub fn has_unread_bytes(&self) -> bool {
+        self.peek().is_ok_and(|bytes| bytes > 0)
+    }
+
+    /// The number of unread bytes, at most 1, without waiting. Returns 0 at the end of the connection.
+    fn peek(&self) -> io::Result<usize> {
         loop {
             match self.0.inner().peek(&mut [0]) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                result => return matches!(result, Err(error) if error.kind() == ErrorKind::WouldBlock),
+                result => return result,
             }
         }
     }
--- a/dispatcher/src/wire/upstream.rs
+++ b/dispatcher/src/wire/upstream.rs
@@ -5,6 +5,7 @@
 mod request;
 mod response;
 
+use super::discovery::{DiscoveryHandle, ListBarrier};
 use crate::core::{Dialer, Inbox, RequestKind, UpstreamConnection, UpstreamId, UpstreamRequest};
 use connection::Connection;
 use may::sync::mpsc::{Sender, channel};
@@ -24,6 +25,7 @@
     site: Arc<Site>,
     metrics: Arc<Metrics>,
     open_connections: AtomicUsize,
+    lists: ListBarrier,
 }
 
 /// Opens connections to the upstream hosts of the HTTP fleet.
@@ -35,17 +37,19 @@
 
 impl HttpDialer {
     /// Creates a dialer for up to `max_connections` connections. `site` interprets load reports,
-    /// `poll_requests` wakes the discovery client, and `metrics` counts the attempts that were sent
-    /// completely.
+    /// `poll_requests` wakes the discovery client, `metrics` counts the attempts that were sent completely,
+    /// and attempts wait for the lists of `discovery`.
     pub fn new(
         inbox: Inbox,
         site: Arc<Site>,
         metrics: Arc<Metrics>,
         max_connections: usize,
         poll_requests: Sender<()>,
+        discovery: DiscoveryHandle,
     ) -> HttpDialer {
         let open_connections = AtomicUsize::new(0);
-        let shared = Arc::new(DialerContext { inbox, site, metrics, open_connections });
+        let lists = ListBarrier::new(discovery, inbox.clone());
+        let shared = Arc::new(DialerContext { inbox, site, metrics, open_connections, lists });
         HttpDialer { shared, max_connections, poll_requests }
     }
 }
--- a/dispatcher/src/wire/upstream/connection.rs
+++ b/dispatcher/src/wire/upstream/connection.rs
@@ -107,6 +107,9 @@
     }
 
     fn send_and_receive(&self, open: &mut OpenConnection, request: &UpstreamRequest) -> ExchangeResult {
+        if matches!(request.kind, RequestKind::Run(_)) {
+            self.shared.lists.wait(request.deadline.min(request.begin_by));
+        }
         if open.opened_at.is_some() && !open.socket.is_open_and_idle() {
             return ExchangeResult::rejected(false);
         }
