--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -179,8 +179,8 @@
         self.discovery.lease.is_valid(self.now)
     }
 
-    /// When the lease on the endpoint list expires, or has expired; `None` while it has no end, and before it was first
-    /// valid.
+    /// When the lease on the endpoint list expires, or has expired; `None` while it has no end, and before it
+    /// was first valid.
     #[must_use]
     pub fn list_expires_at(&self) -> Option<Micros> {
         self.discovery.lease.expires_at()
