--- a/crates/discovery-client/src/poll_schedule.rs
+++ b/crates/discovery-client/src/poll_schedule.rs
@@ -93,18 +93,6 @@
         self.instance_count <= MAX_SMALL_FLEET
     }
 
-    /// The longest delay from `now` to the call after one that began at `started_at` and failed. In a small fleet, the service may
-    /// have come back right after that call began, and the next one may take as long.
-    fn max_delay_after_failure(&self, started_at: Micros, now: Micros, end: WatchEnd) -> Micros {
-        let latest = if self.is_small_fleet() {
-            let call_time = (now - started_at + EXPECTED_CALL_TIME / 2).max(3 * EXPECTED_CALL_TIME / 2);
-            started_at + NOTIFICATION_DEADLINE - call_time
-        } else {
-            end.in_sync_until + MAX_FIRST_DELAY
-        };
-        (latest - now).max(MIN_BACKOFF)
-    }
-
     /// This dispatcher's position in a round, in 0..1. Positions are evenly distributed, however few dispatchers run.
     fn position(&self) -> f64 {
         (f64::from(self.instance_index) * GOLDEN_RATIO_CONJUGATE).fract()
@@ -227,8 +215,8 @@
             Some(started_at) => {
                 let waited = (now - started_at).max(0);
                 self.backoff = (backoff * 2).min((parameters.poll_interval / 8).max(MIN_BACKOFF));
-                let max_delay = parameters.max_delay_after_failure(started_at, now, end);
-                self.slot_after_failure(end.reason, waited, random, max_delay, parameters.is_small_fleet())
+                let is_small_fleet = parameters.is_small_fleet();
+                self.slot_after_failure(end.reason, waited, random, max_prompt_delay, is_small_fleet)
             }
             // A watch may break for all dispatchers at once. As at a start, each calls at its own position.
             None => CallSlot {
