--- a/review/src-2/common.rs
+++ b/review/src-2/common.rs
@@ -123,6 +123,9 @@
     not_run("deploy/balancer.toml has no run command")
 }
 
+/// The dispatcher's memory limit, in MiB.
+pub static MEMORY_MB: AtomicU64 = AtomicU64::new(192);
+
 /// A dispatcher that is killed when it is dropped.
 pub struct Dispatcher {
     pub child: Child,
@@ -142,10 +145,11 @@
         known: &str,
         arguments: &str,
     ) -> Dispatcher {
+        let memory = MEMORY_MB.load(Ordering::SeqCst);
         let config = format!(
             "{{\"name\":\"{name}\",\"listen\":\"127.0.0.1:{listen}\",\"discovery\":\"127.0.0.1:{discovery}\",\
              \"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory},\"sockets\":1024}},\
              \"known\":{known},\"settings\":{settings}}}"
         );
         let path = folder.write(&format!("{name}.json"), &config);
