--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,5 +4,5 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/release/roselock ] || exit 2
-[ -x target/review-2/case_gearman_output ] || exit 2
-exec target/review-2/case_gearman_output "$folder/record.txt"
+[ -x target/review-2/case_upgrade_memory ] || exit 2
+exec target/review-2/case_upgrade_memory "$folder/record.txt"
