--- a/review/src-2/case_keyed_gearman.rs
+++ b/review/src-2/case_keyed_gearman.rs
@@ -19,6 +19,7 @@
 
 fn run() -> i32 {
     let record = Record::open();
+    watchdog(&record, 115);
     let folder = TempFolder::new();
     let (listen, gearman_port) = (free_port(), free_port());
     let ledger = workers::SharedLedger::default();
@@ -36,10 +37,9 @@
         ),
     );
     let arguments = format!("--operator {}", operator.display());
-    let dispatcher = Dispatcher::start(
+    let _dispatcher = Dispatcher::start(
         &record, &folder, "n0", listen, discovery.port, None, settings::DAAN, &known, &arguments,
     );
-    watchdog(&record, vec![dispatcher.child.id()], 110);
     sleep_ms(500);
 
     for number in 1..=TRANSFERS {
--- a/review/src-2/case_pipelined_chunked.rs
+++ b/review/src-2/case_pipelined_chunked.rs
@@ -24,15 +24,15 @@
 
 fn run() -> i32 {
     let record = Record::open();
+    watchdog(&record, 115);
     let folder = TempFolder::new();
     let listen = free_port();
     let ran = Ran::default();
     let entries: Vec<Entry> = (0..3).map(|number| start_worker(&record, number, listen, &ran)).collect();
     let known = list_json(1, true, &entries);
     let discovery = Discovery::start(&record, entries);
-    let dispatcher =
+    let _dispatcher =
         Dispatcher::start(&record, &folder, "n0", listen, discovery.port, None, settings::PORTAL, &known, "");
-    watchdog(&record, vec![dispatcher.child.id()], 110);
     sleep_ms(1000);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
--- a/review/src-2/case_second_answer.rs
+++ b/review/src-2/case_second_answer.rs
@@ -49,15 +49,15 @@
 
 fn run() -> i32 {
     let record = Record::open();
+    watchdog(&record, 115);
     let folder = TempFolder::new();
     let listen = free_port();
     let ledger = SharedLedger::default();
     let entries: Vec<Entry> = (0..2).map(|number| start_worker(&record, number, listen, &ledger)).collect();
     let known = list_json(1, true, &entries);
     let discovery = Discovery::start(&record, entries);
-    let dispatcher =
+    let _dispatcher =
         Dispatcher::start(&record, &folder, "n0", listen, discovery.port, None, settings::PORTAL, &known, "");
-    watchdog(&record, vec![dispatcher.child.id()], 110);
     sleep_ms(1000);
 
     let mut random = Random(0x9e3779b97f4a7c15);
--- a/review/src-2/case_stand_still.rs
+++ b/review/src-2/case_stand_still.rs
@@ -37,6 +37,7 @@
 
 fn run() -> i32 {
     let record = Record::open();
+    watchdog(&record, 115);
     let folder = TempFolder::new();
     let (listen, gearman_port) = (free_port(), free_port());
     // No HTTP worker takes part; one is listed, so that the dispatcher is ready.
@@ -59,10 +60,9 @@
         ),
     );
     let arguments = format!("--operator {}", operator.display());
-    let dispatcher = Dispatcher::start(
+    let _dispatcher = Dispatcher::start(
         &record, &folder, "n0", listen, discovery.port, None, settings::DAAN, &known, &arguments,
     );
-    watchdog(&record, vec![dispatcher.child.id()], 110);
     let shared = Arc::new(Shared {
         record: record.clone(),
         start: Instant::now(),
--- a/review/src-2/case_upgrade_memory.rs
+++ b/review/src-2/case_upgrade_memory.rs
@@ -54,6 +54,7 @@
 fn run() -> i32 {
     let record = Record::open();
     let folder = TempFolder::new();
+    watchdog(&record, 100);
     // The platform holds the clients' listener.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| not_run(&error.to_string()));
     let listen = listener.local_addr().unwrap().port();
@@ -86,10 +87,7 @@
     if trouble() {
         let process = start(&record, &folder, &listener, listen, discovery.port, admins[1], &known);
         processes.lock().unwrap().push(process.0.id());
-        watchdog(&record, vec![old.0.id(), process.0.id()], 100);
         new = Some(process);
-    } else {
-        watchdog(&record, vec![old.0.id()], 100);
     }
     sleep_ms(2500);
     if trouble() {
@@ -203,6 +201,7 @@
         });
     }
     let child = command.spawn().unwrap_or_else(|error| not_run(&format!("dispatcher: {error}")));
+    note_started(child.id());
     let process = Process(child);
     let deadline = Instant::now() + Duration::from_secs(30);
     loop {
--- a/review/src-2/common.rs
+++ b/review/src-2/common.rs
@@ -6,10 +6,10 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -51,9 +51,29 @@
     }
 }
 
-/// Ends the program because the case cannot run.
+/// The temporary folders.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+/// The processes that were started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Notes a process that was started, so that it ends with the program.
+pub fn note_started(process: u32) {
+    STARTED.lock().unwrap().push(process);
+}
+
+fn clean_up() {
+    for process in STARTED.lock().unwrap().iter() {
+        let _ = Command::new("kill").arg("-KILL").arg(process.to_string()).stderr(Stdio::null()).status();
+    }
+    for folder in FOLDERS.lock().unwrap().iter() {
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
+
+/// Ends the program, and what it started, because the case cannot run.
 pub fn not_run(reason: &str) -> ! {
     eprintln!("not run: {reason}");
+    clean_up();
     std::process::exit(NOT_RUN);
 }
 
@@ -94,6 +114,7 @@
         let nanos = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_nanos();
         let path = std::env::temp_dir().join(format!("review-2-{}-{nanos}", std::process::id()));
         std::fs::create_dir_all(&path).unwrap_or_else(|error| not_run(&error.to_string()));
+        FOLDERS.lock().unwrap().push(path.clone());
         TempFolder(path)
     }
     pub fn write(&self, name: &str, text: &str) -> PathBuf {
@@ -123,9 +144,6 @@
     not_run("deploy/balancer.toml has no run command")
 }
 
-/// The dispatcher's memory limit, in MiB.
-pub static MEMORY_MB: AtomicU64 = AtomicU64::new(192);
-
 /// A dispatcher that is killed when it is dropped.
 pub struct Dispatcher {
     pub child: Child,
@@ -145,11 +163,10 @@
         known: &str,
         arguments: &str,
     ) -> Dispatcher {
-        let memory = MEMORY_MB.load(Ordering::SeqCst);
         let config = format!(
             "{{\"name\":\"{name}\",\"listen\":\"127.0.0.1:{listen}\",\"discovery\":\"127.0.0.1:{discovery}\",\
              \"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":{memory},\"sockets\":1024}},\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\
              \"known\":{known},\"settings\":{settings}}}"
         );
         let path = folder.write(&format!("{name}.json"), &config);
@@ -169,6 +186,7 @@
             command.env("NODE_ADMIN", format!("127.0.0.1:{admin}"));
         }
         let child = command.spawn().unwrap_or_else(|error| not_run(&format!("dispatcher: {error}")));
+        note_started(child.id());
         let mut dispatcher = Dispatcher { child, listen };
         let deadline = Instant::now() + Duration::from_secs(30);
         loop {
@@ -187,17 +205,10 @@
             sleep_ms(50);
         }
     }
-    pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(self.child.id().to_string()).status();
-    }
     pub fn stop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-    /// Whether the process still runs.
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 impl Drop for Dispatcher {
@@ -206,16 +217,13 @@
     }
 }
 
-/// Ends the dispatchers and this program if the case takes too long.
-pub fn watchdog(record: &Record, processes: Vec<u32>, seconds: u64) {
+/// Ends this program, and what it started, if the case takes too long.
+pub fn watchdog(record: &Record, seconds: u64) {
     let record = record.clone();
     std::thread::spawn(move || {
         std::thread::sleep(Duration::from_secs(seconds));
         record.line("the case took too long");
-        for process in processes {
-            let _ = Command::new("kill").arg("-KILL").arg(process.to_string()).status();
-        }
-        std::process::exit(NOT_RUN);
+        not_run("the case took too long");
     });
 }
 
@@ -310,27 +318,22 @@
     pub port: u16,
     pub state: Arc<Mutex<DiscoveryState>>,
     pub record: Record,
-    /// While it is set, open watches end, and each call waits for 0.3 s and gets a 503.
-    pub is_crowded: Arc<AtomicBool>,
 }
 
 pub struct DiscoveryState {
     pub revision: u64,
     pub entries: Vec<Entry>,
-    /// The changes, with their revisions.
-    pub changes: Vec<(u64, Entry)>,
 }
 
 impl Discovery {
     pub fn start(record: &Record, entries: Vec<Entry>) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|error| not_run(&error.to_string()));
         let port = listener.local_addr().unwrap().port();
-        let state = DiscoveryState { revision: 1, entries, changes: Vec::new() };
+        let state = DiscoveryState { revision: 1, entries };
         let discovery = Discovery {
             port,
             state: Arc::new(Mutex::new(state)),
             record: record.clone(),
-            is_crowded: Arc::default(),
         };
         let service = discovery.clone();
         std::thread::spawn(move || {
@@ -343,27 +346,11 @@
         });
         discovery
     }
-    /// Changes the state of a worker, which is written to the open watches.
-    pub fn change(&self, uid: &str, state: &'static str) {
-        let mut held = self.state.lock().unwrap();
-        held.revision += 1;
-        let revision = held.revision;
-        let Some(entry) = held.entries.iter_mut().find(|entry| entry.uid == uid) else { return };
-        entry.state = state;
-        let entry = entry.clone();
-        held.changes.push((revision, entry));
-    }
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader)? {
-            if self.is_crowded.load(Ordering::SeqCst) {
-                sleep_ms(300);
-                self.record.line("discovery: 503 to a call");
-                writer.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")?;
-                continue;
-            }
             if request.target().contains("watch=1") {
                 return self.watch(&mut writer);
             }
@@ -381,30 +368,14 @@
             writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
         };
         let held = self.state.lock().unwrap();
-        let mut revision = held.revision;
-        let list = list_json(revision, true, &held.entries);
+        let list = list_json(held.revision, true, &held.entries);
         drop(held);
         self.record.line("discovery: watch opened, whole list written");
         chunk(writer, &format!("{list}\n"))?;
         let mut last_written = Instant::now();
         loop {
             sleep_ms(10);
-            if self.is_crowded.load(Ordering::SeqCst) {
-                self.record.line("discovery: watch ended");
-                return writer.shutdown(Shutdown::Both);
-            }
-            let held = self.state.lock().unwrap();
-            let changed: Vec<Entry> =
-                held.changes.iter().filter(|(at, _)| *at > revision).map(|(_, entry)| entry.clone()).collect();
-            revision = held.revision;
-            drop(held);
-            if !changed.is_empty() {
-                let states: Vec<String> =
-                    changed.iter().map(|entry| format!("{} {}", entry.uid, entry.state)).collect();
-                chunk(writer, &format!("{}\n", list_json(revision, false, &changed)))?;
-                self.record.line(&format!("discovery: written to the watch: {}", states.join(", ")));
-                last_written = Instant::now();
-            } else if last_written.elapsed() > Duration::from_millis(1900) {
+            if last_written.elapsed() > Duration::from_millis(1900) {
                 chunk(writer, "\n")?;
                 last_written = Instant::now();
             }
